--- /dev/null
+++ b/kelpcourse/__init__.py
@@ -0,0 +1,1 @@
+"""kelpcourse: a director that publishes routing tables to a fleet of proxies."""
--- /dev/null
+++ b/kelpcourse/decide.py
@@ -0,0 +1,463 @@
+"""Every decision of a director. Events, settings and actions: kelpcourse/interface.py.
+
+One Director is fed batches of events and answers each with actions. It knows nothing but what these told it.
+The order of work in `step`: take events in, judge hosts, judge load, then publish what changed.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Iterable, Sequence
+from dataclasses import dataclass, field
+
+from kelpcourse.interface import (
+    Action, Admission, BindProxy, Checkpoint, DemandReport, Effect, Event, FetchList, Host, HostId, HostList,
+    HostReport, HostState, ListKind, Log, OrdersApplied, ProxyId, ProxyJoined, ProxyLeft, Retry, SetLevel,
+    SetLine, SetTimer, Settings, Started, TableId, TimerFired, WatchList, Withdraw,
+)
+
+TICK_US = 1_000_000  # the design's window: demand is read and the fill solved once a second
+PACE_US = 2_000_000  # ordinary lines go out at most this often; an order costs far less than a stale share
+OVERLOAD_SHARE = 0.05  # share of failed tries over the fleet: below it nothing is shed (the design's figure)
+NEAR_AIM = 0.5  # mean time over mean aim: times spread widely, so many are late when the mean is half the aim
+GROW = 1.10  # way up: V per judged report while no overload shows, as V is measured under the levels it set
+CUT_LEAST = 0.7  # V after one cut, over the good rate: a late report of a burst must not shut the door
+LEVEL_LEAST = 0.05  # no class is ever shut out: some answers are needed to see that the load has gone
+LEVEL_STEP = 0.03  # smaller changes of a level are not worth an order
+SICK_SHARE = 0.05  # a host's failed share that halves its weight (the design's figure)
+SICK_TIMES = 3.0  # and it must fail this many times as often as the rest, or the trouble is everybody's
+SICK_MOST = 0.4  # share of the fleet judged sick at most; beyond it the trouble is everybody's
+SICK_TRIES = 4  # tries before a host is judged: fewer say too little
+HEALTH_LEAST = 0.04  # a sick host keeps this part: few requests are lost, enough to see it mend
+HEALTH_STEP = 2.0  # restoring: doubled at each report without trouble
+SPEED_GAIN = 0.5  # exponent of one correction towards equal times; 1 overshoots as reports are late and noisy
+SPEED_RANGE = (0.25, 3.0)  # learned part of a weight
+SPEED_TRIES = 6  # tries before a mean time counts
+COLD_CAUTION = 0.7  # part of a cold host's least capacity that is planned with: retries may swell its load
+LINE_STEP = 0.08  # smaller relative changes of a weight are not worth a line
+ASK_FIRST_US = 500_000  # first wait before asking discovery again, doubled up to a quarter of the allowed time
+QUEUE_ORDINARY = 0.35  # part of the channel's limit that ordinary orders may fill; the rest is for urgent ones
+MESSAGES_ORDINARY = 0.6  # part of a proxy's message allowance for ordinary orders
+Key = tuple[frozenset[str], frozenset[str], str]
+
+
+@dataclass
+class Server:
+    """A listed host and what is known of it."""
+
+    host: Host
+    speed: float = 1.0
+    health: float = 1.0
+    told_us: int = 0
+    tries: int = 0
+    failed: int = 0
+    good: int = 0
+    time_us: float = 0.0
+    load: dict[str, float] = field(default_factory=dict)
+
+    def forget(self) -> None:
+        self.tries = self.failed = self.good = 0
+        self.time_us = 0.0
+
+
+@dataclass
+class Proxy:
+    """A joined proxy: where it is and what it was sent."""
+
+    zone: str
+    bound: bool = False
+    sent: deque[int] = field(default_factory=deque)
+    unapplied: dict[int, float] = field(default_factory=dict)
+
+
+def fill(demand: Sequence[float], volume: float, lower: Sequence[float], upper: Sequence[float]) -> list[float]:
+    """The greatest equal fraction: x_i >= theta n_i, sum x <= V, lb_i V <= x_i <= ub_i V, x_i <= n_i."""
+    floors = [min(n, lo * volume, up * volume) for n, lo, up in zip(demand, lower, upper, strict=True)]
+    if sum(floors) > volume:  # the bounds ask for more than there is: cut them alike
+        return [x * volume / sum(floors) for x in floors]
+
+    def at(theta: float) -> list[float]:
+        return [min(n, up * volume, max(low, theta * n))
+                for n, low, up in zip(demand, floors, upper, strict=True)]
+    if sum(at(1.0)) <= volume:
+        return at(1.0)
+    low, high = 0.0, 1.0
+    for _ in range(30):
+        middle = (low + high) / 2
+        low, high = (middle, high) if sum(at(middle)) <= volume else (low, middle)
+    return at(low)
+
+
+def worth_bounds(demand: Sequence[float], worth: Sequence[float], volume: float) -> list[float]:
+    """Lower bounds by worth: a class worth more than the mean request is served before the rest share."""
+    total = sum(demand)
+    mean = sum(n * w for n, w in zip(demand, worth, strict=True)) / total if total > 0 else 0.0
+    lower, left = [0.0] * len(demand), 1.0
+    for i in sorted(range(len(demand)), key=lambda i: -worth[i]):
+        if worth[i] > mean and volume > 0:
+            lower[i] = min(left, demand[i] / volume)
+            left -= lower[i]
+    return lower
+
+
+class Director:
+    """One instance of the controller."""
+
+    def __init__(self, settings: Settings) -> None:
+        self.s = settings
+        self.now = 0
+        self.out: list[Action] = []
+        self.servers: dict[HostId, Server] = {}
+        self.proxies: dict[ProxyId, Proxy] = {}
+        self.keys = self._table_keys()
+        self.lines: dict[TableId, dict[HostId, float]] = {t: {} for t in self.keys.values()}
+        self.levels_sent: dict[tuple[TableId, int], tuple[float, Retry]] = {}
+        self.out_hosts: set[HostId] = set()
+        self.levels = [1.0] * len(settings.classes)
+        self.volume = float("inf")
+        self.demand = [0.0] * len(settings.classes)
+        self.arrived: dict[tuple[ProxyId, int], list[float]] = {}
+        self.heard: dict[tuple[HostId, str], list[float]] = {}
+        self.judged_us = self.lines_us = self.cut_us = 0
+        self.watching = False
+        self.ask_wait_us = ASK_FIRST_US
+        self.ask_due_us = 0
+        self.number = 0
+        self.urgent = False
+
+    # Taking events in
+
+    def step(self, now_us: int, events: Sequence[Event]) -> list[Action]:
+        self.now, self.out, self.urgent = now_us, [], False
+        for event in events:
+            self._take(event)
+        if self.heard and now_us - self.judged_us >= min(TICK_US, self.s.report_period_us) // 2:
+            self._judge()
+        self._ask_discovery()
+        self._publish()
+        return self.out
+
+    def _take(self, event: Event) -> None:
+        match event:
+            case Started():
+                self.judged_us = self.now
+                self._timer()
+            case TimerFired():
+                self._timer()
+            case HostList():
+                self._take_list(event)
+            case ProxyJoined(proxy, zone):
+                self.proxies[proxy] = Proxy(zone)
+            case ProxyLeft(proxy):
+                self.proxies.pop(proxy, None)
+            case OrdersApplied(proxy, number):
+                if proxy in self.proxies:
+                    waiting = self.proxies[proxy].unapplied
+                    for earlier in [n for n in waiting if n <= number]:
+                        del waiting[earlier]
+            case HostReport():
+                self._take_report(event)
+            case DemandReport(proxy, cls, arrived, _, span):
+                cell = self.arrived.setdefault((proxy, cls), [0.0, 0.0])
+                cell[0] += arrived
+                cell[1] += span / 1e6
+            case _:
+                pass
+
+    def _timer(self) -> None:
+        self.out.append(SetTimer("tick", self.now + TICK_US))
+
+    def _take_list(self, event: HostList) -> None:
+        if event.kind is ListKind.UNAVAILABLE:
+            self.watching = False
+            self.ask_due_us = self.now + self.ask_wait_us
+            self.ask_wait_us = min(self.ask_wait_us * 2, max(ASK_FIRST_US, self.s.ask_within_us // 4))
+            return
+        if event.kind is not ListKind.RESTORED:
+            self.ask_wait_us = ASK_FIRST_US
+        if event.kind is not ListKind.CHANGES:
+            named = {host.id for host in event.hosts}
+            for gone in [h for h in self.servers if h not in named]:
+                self._drop(gone)
+        for host in event.hosts:
+            self._take_host(host)
+
+    def _take_host(self, host: Host) -> None:
+        if host.state is not HostState.READY:
+            self._drop(host.id)
+            return
+        known = self.servers.get(host.id)
+        if known is None or known.host.started_us != host.started_us:
+            self.servers[host.id] = Server(host, told_us=self.now)
+            if known is not None:
+                self.servers[host.id].speed = known.speed  # the same machine, started anew
+            self.urgent = self.urgent or self._warmth(self.servers[host.id]) < 1
+        else:
+            known.host = host
+        if host.id in self.out_hosts:
+            self.urgent = True
+
+    def _drop(self, host: HostId) -> None:
+        """Rule 3: a draining or gone host is withdrawn at once and leaves every table."""
+        if self.servers.pop(host, None) is not None or host not in self.out_hosts:
+            self.out_hosts.add(host)
+            self.out.append(Withdraw(host, True))
+            self.urgent = True
+
+    def _take_report(self, event: HostReport) -> None:
+        cell = self.heard.setdefault((event.host, event.zone), [0.0, 0.0, 0.0, 0.0])
+        good = event.tries - event.failed
+        cell[0] += event.tries
+        cell[1] += event.failed
+        cell[2] += good * event.good_time_us
+        cell[3] += event.span_us / 1e6
+        server = self.servers.get(event.host)
+        if server is not None:
+            server.tries += event.tries
+            server.failed += event.failed
+            server.good += good
+            server.time_us += good * event.good_time_us
+            server.load.update(event.load)
+
+    def _ask_discovery(self) -> None:
+        if self.s.must_ask and not self.watching and self.now >= self.ask_due_us:
+            self.watching = True  # an UNAVAILABLE answer takes it back
+            self.out.append(WatchList(True))
+
+    # Judging hosts and load
+
+    def _judge(self) -> None:
+        tries = sum(c[0] for c in self.heard.values())
+        failed = sum(c[1] for c in self.heard.values())
+        time_us = sum(c[2] for c in self.heard.values())
+        good_rate = sum((c[0] - c[1]) / c[3] for c in self.heard.values() if c[3] > 0)
+        self.judged_us = self.now
+        self.heard.clear()
+        sick = self._judge_hosts()
+        self._correct_speeds()
+        for i in range(len(self.demand)):
+            self.demand[i] = sum(c[0] / c[1] for (_, k), c in self.arrived.items() if k == i and c[1] > 0)
+        self.arrived.clear()
+        good = tries - failed
+        mean_us = time_us / good if good > 0 else 0.0
+        self._judge_load(good_rate, self._spread_failures(sick), self._pressure(mean_us))
+
+    def _judge_hosts(self) -> set[HostId]:
+        """Errors held to few hosts are theirs; spread over the fleet they are overload and blame no host."""
+        total = sum(v.tries for v in self.servers.values())
+        failed = sum(v.failed for v in self.servers.values())
+        suspects = []
+        for server in self.servers.values():
+            if server.tries < SICK_TRIES:
+                continue
+            share = server.failed / server.tries
+            rest = (failed - server.failed) / max(1, total - server.tries)
+            if server.failed >= 2 and share > SICK_SHARE and share > SICK_TIMES * rest:
+                suspects.append((share, server))
+            elif share <= SICK_SHARE:
+                server.health = min(1.0, server.health * HEALTH_STEP)
+        suspects.sort(key=lambda pair: (-pair[0], pair[1].host.id))
+        sick = suspects[:int(SICK_MOST * len(self.servers))]
+        for share, server in sick:
+            server.health = max(HEALTH_LEAST, server.health * min(0.5, (1 - share) ** 2))
+        return {server.host.id for _, server in sick} | {
+            v.host.id for v in self.servers.values() if v.health < 1}
+
+    def _spread_failures(self, sick: set[HostId]) -> float:
+        tries = sum(v.tries for h, v in self.servers.items() if h not in sick)
+        failed = sum(v.failed for h, v in self.servers.items() if h not in sick)
+        for server in self.servers.values():
+            if server.tries >= SICK_TRIES:
+                server.forget()
+        return failed / tries if tries else 0.0
+
+    def _correct_speeds(self) -> None:
+        """Listed weights say little or nothing of speed: nudge shares towards equal times."""
+        told = [v for v in self.servers.values() if v.good >= SPEED_TRIES and self._warmth(v) >= 1]
+        if len(told) < 2:
+            return
+        mean = sum(v.time_us for v in told) / sum(v.good for v in told)
+        for server in told:
+            own = server.time_us / server.good
+            if own > 0:
+                speed = server.speed * (mean / own) ** SPEED_GAIN
+                server.speed = min(SPEED_RANGE[1], max(SPEED_RANGE[0], speed))
+        scale = sum(v.speed for v in told) / len(told)
+        for server in told:
+            server.speed = min(SPEED_RANGE[1], max(SPEED_RANGE[0], server.speed / scale))
+
+    def _pressure(self, mean_us: float) -> float:
+        """Overload may show as time before anything fails: mean time over the part of the aim that is safe."""
+        total = sum(self.demand)
+        if total <= 0:
+            return 0.0
+        aim = sum(n * c.aim_us for n, c in zip(self.demand, self.s.classes, strict=True)) / total
+        return mean_us / (NEAR_AIM * aim)
+
+    def _judge_load(self, good_rate: float, failures: float, pressure: float) -> None:
+        if self.s.admission is Admission.NONE:
+            return
+        settled = self.s.transit_longest_us + self.s.report_period_us + TICK_US
+        if failures > OVERLOAD_SHARE or pressure > 1:
+            if self.now - self.cut_us >= settled:  # reports lag: one cut for one overload
+                self.volume = good_rate * min(1.0, max(CUT_LEAST, 1 / max(pressure, 0.01)))
+                self.cut_us = self.now
+                self.out.append(Log(f"overload: failed {failures:.2f}, pressure {pressure:.2f}, V {self.volume:.0f}/s"))
+        elif self.volume < float("inf"):
+            self.volume *= GROW
+            if self.volume >= sum(self.demand) and min(self.levels) >= 1:
+                self.volume = float("inf")
+                self.out.append(Log("overload over"))
+        self._solve()
+
+    def _solve(self) -> None:
+        if self.volume == float("inf"):
+            self.levels = [1.0] * len(self.levels)
+            return
+        worth = [c.worth for c in self.s.classes]
+        lower = worth_bounds(self.demand, worth, self.volume)
+        admitted = fill(self.demand, self.volume, lower, [1.0] * len(worth))
+        self.levels = [max(LEVEL_LEAST, x / n) if n > 0 else 1.0
+                       for x, n in zip(admitted, self.demand, strict=True)]
+
+    # Tables
+
+    def _table_keys(self) -> dict[Key, TableId]:
+        """One shared table; classes that may not go everywhere have one of their own hosts."""
+        keys: dict[Key, TableId] = {}
+        for zone in self.s.zones:
+            for cls in self.s.classes:
+                keys.setdefault(self._key(cls_at=self.s.classes.index(cls), zone=zone), len(keys))
+        return keys
+
+    def _key(self, cls_at: int, zone: str) -> Key:
+        cls = self.s.classes[cls_at]
+        return cls.only_zones, cls.only_kinds, zone if cls.zone_bound else ""
+
+    def _open(self, key: Key) -> list[Server]:
+        zones, kinds, bound = key
+        return [v for v in self.servers.values()
+                if (not zones or v.host.zone in zones) and (not kinds or v.host.kind in kinds)
+                and (not bound or v.host.zone == bound)]
+
+    def _warmth(self, server: Server) -> float:
+        """Least share of its capacity that a host started lately can have by now."""
+        started = server.host.started_us
+        if started <= 0 or self.s.cold_us <= 0:
+            return 1.0
+        age = max(0, self.now - started)
+        if age >= self.s.cold_us:
+            return 1.0
+        return self.s.cold_from + (1 - self.s.cold_from) * age / self.s.cold_us
+
+    def _weights(self, key: Key) -> dict[HostId, float]:
+        servers = self._open(key)
+        listed = [v.host.weight for v in servers if v.host.weight > 0]
+        average = sum(listed) / len(listed) if listed else 1.0
+        base = {v.host.id: (v.host.weight if v.host.weight > 0 else average) / average * v.speed
+                for v in servers}
+        weights = {v.host.id: base[v.host.id] * v.health for v in servers}
+        total_base = sum(base.values())
+        cold = [(v, w) for v in servers if (w := self._warmth(v)) < 1]
+        for _ in range(4):  # rule 4: a cold host's share depends on all the others, so settle them together
+            total = sum(weights.values())
+            for server, warmth in cold:
+                h = server.host.id
+                share = COLD_CAUTION * warmth * base[h] / total_base
+                weights[h] = min(base[h] * server.health * COLD_CAUTION * warmth, share * total)
+        return {h: max(w, 0.001) for h, w in weights.items()}
+
+    # Publishing
+
+    def _queued(self) -> float:
+        """Lines not known to be applied: more than wait in the channel, never fewer."""
+        return sum(sum(p.unapplied.values()) for p in self.proxies.values())
+
+    def _may_send(self, p: Proxy) -> bool:
+        if not self.s.messages_most:
+            return True
+        while p.sent and p.sent[0] <= self.now - self.s.messages_over_us:
+            p.sent.popleft()
+        return len(p.sent) < int(self.s.messages_most * MESSAGES_ORDINARY)
+
+    def _ordinary_open(self) -> bool:
+        return (self._queued() < QUEUE_ORDINARY * self.s.channel_backlog
+                and all(self._may_send(p) for p in self.proxies.values()))
+
+    def _publish(self) -> None:
+        if self.s.slices:
+            return
+        cost = sum(1.0 for a in self.out if isinstance(a, Withdraw))
+        paced = self.now - self.lines_us >= PACE_US and self._ordinary_open()
+        if self.urgent or paced:
+            cost += self._send_lines()
+            self.lines_us = self.now
+        if paced or (self.urgent and not self.levels_sent):
+            cost += self._send_levels()
+        everyone = cost > 0
+        bind_cost = self._bind_joined()
+        if everyone or bind_cost:
+            self._checkpoint(cost, bind_cost, everyone)
+
+    def _send_lines(self) -> float:
+        cost = 0.0
+        for key, table in self.keys.items():
+            held, wanted = self.lines[table], self._weights(key)
+            for host in [h for h in held if h not in wanted]:
+                del held[host]
+                self.out.append(SetLine(table, host, 0.0))
+                cost += 1
+            for host, weight in wanted.items():
+                if host not in held or abs(weight - held[host]) > LINE_STEP * held[host]:
+                    held[host] = weight
+                    self.out.append(SetLine(table, host, weight))
+                    cost += 1
+        for host in [h for h in sorted(self.out_hosts) if h in self.servers]:
+            self.out_hosts.discard(host)
+            self.out.append(Withdraw(host, False))
+            cost += 1
+        return cost
+
+    def _retry(self, cls_at: int) -> Retry:
+        """By effect: a try that may have run is never repeated here; one proven unrun always may be."""
+        return Retry.PROVEN_UNRUN
+
+    def _send_levels(self) -> float:
+        cost = 0.0
+        for i in range(len(self.levels)):
+            level, retry = self.levels[i], self._retry(i)
+            for table in dict.fromkeys(self.keys[self._key(i, zone)] for zone in self.s.zones):
+                sent = self.levels_sent.get((table, i))
+                same = sent is not None and sent[1] is retry and (
+                    abs(sent[0] - level) < LEVEL_STEP and (level < 1 or sent[0] == 1))
+                if not same:
+                    self.levels_sent[table, i] = (level, retry)
+                    self.out.append(SetLevel(table, (i,), level, retry))
+                    cost += 1
+        return cost
+
+    def _bind_joined(self) -> dict[ProxyId, float]:
+        """A proxy that joins is bound to its tables at once; a binding restates what is withdrawn."""
+        cost: dict[ProxyId, float] = {}
+        for number, proxy in self.proxies.items():
+            if proxy.bound or not self.servers:
+                continue
+            by_table: dict[TableId, list[int]] = {}
+            for i in range(len(self.s.classes)):
+                by_table.setdefault(self.keys[self._key(i, proxy.zone)], []).append(i)
+            for table, classes in by_table.items():
+                if not self.lines[table]:
+                    continue
+                self.out.append(BindProxy(number, table, tuple(classes)))
+                cost[number] = cost.get(number, 0) + 1 + len(self.lines[table]) + len(classes)
+            proxy.bound = True
+        return cost
+
+    def _checkpoint(self, cost: float, bind_cost: dict[ProxyId, float], everyone: bool) -> None:
+        self.number = (self.number + 1) % 65536
+        self.out.append(Checkpoint(self.number, False))
+        for number, proxy in self.proxies.items():
+            if everyone or number in bind_cost:
+                lines = self.s.message_head + 1 + cost + bind_cost.get(number, 0.0)
+                proxy.unapplied[self.number] = lines
+                proxy.sent.append(self.now)
--- /dev/null
+++ b/kelpcourse/simhost/__init__.py
@@ -0,0 +1,1 @@
+"""Adapter that hosts decision modules on the simulator's line protocol."""
--- /dev/null
+++ b/kelpcourse/simhost/__main__.py
@@ -0,0 +1,8 @@
+"""Entry point: `python -m kelpcourse.simhost` speaks the simulator's wire on stdin and stdout."""
+
+import sys
+
+from kelpcourse.simhost.server import main
+
+if __name__ == "__main__":
+    sys.exit(main())
