--- a/kelpcourse/decide.py
+++ b/kelpcourse/decide.py
@@ -7,11 +7,11 @@
 from __future__ import annotations
 
 from collections import deque
-from collections.abc import Iterable, Sequence
+from collections.abc import Sequence
 from dataclasses import dataclass, field
 
 from kelpcourse.interface import (
-    Action, Admission, BindProxy, Checkpoint, DemandReport, Effect, Event, FetchList, Host, HostId, HostList,
+    Action, Admission, BindProxy, Checkpoint, DemandReport, Event, Host, HostId, HostList,
     HostReport, HostState, ListKind, Log, OrdersApplied, ProxyId, ProxyJoined, ProxyLeft, Retry, SetLevel,
     SetLine, SetTimer, Settings, Started, TableId, TimerFired, WatchList, Withdraw,
 )
@@ -33,10 +33,10 @@
 SPEED_GAIN = 0.5  # exponent of one correction towards equal times; 1 overshoots as reports are late and noisy
 SPEED_RANGE = (0.25, 3.0)  # learned part of a weight
 SPEED_TRIES = 6  # tries before a mean time counts
-COLD_CAUTION = 0.7  # part of a cold host's least capacity that is planned with: retries may swell its load
+COLD_CAUTION = 0.7  # part of a cold host's least capacity that is planned with: retries swell load
 LINE_STEP = 0.08  # smaller relative changes of a weight are not worth a line
-ASK_FIRST_US = 500_000  # first wait before asking discovery again, doubled up to a quarter of the allowed time
-QUEUE_ORDINARY = 0.35  # part of the channel's limit that ordinary orders may fill; the rest is for urgent ones
+ASK_FIRST_US = 500_000  # first wait before asking discovery again, doubled to a quarter of what is allowed
+QUEUE_ORDINARY = 0.35  # part of the channel's limit that ordinary orders may fill; the rest is for urgent
 MESSAGES_ORDINARY = 0.6  # part of a proxy's message allowance for ordinary orders
 Key = tuple[frozenset[str], frozenset[str], str]
 
@@ -70,7 +70,9 @@
     unapplied: dict[int, float] = field(default_factory=dict)
 
 
-def fill(demand: Sequence[float], volume: float, lower: Sequence[float], upper: Sequence[float]) -> list[float]:
+def fill(
+    demand: Sequence[float], volume: float, lower: Sequence[float], upper: Sequence[float]
+) -> list[float]:
     """The greatest equal fraction: x_i >= theta n_i, sum x <= V, lb_i V <= x_i <= ub_i V, x_i <= n_i."""
     floors = [min(n, lo * volume, up * volume) for n, lo, up in zip(demand, lower, upper, strict=True)]
     if sum(floors) > volume:  # the bounds ask for more than there is: cut them alike
@@ -167,6 +169,9 @@
     def _timer(self) -> None:
         self.out.append(SetTimer("tick", self.now + TICK_US))
 
+    def _log(self, text: str) -> None:
+        self.out.append(Log(text))
+
     def _take_list(self, event: HostList) -> None:
         if event.kind is ListKind.UNAVAILABLE:
             self.watching = False
@@ -287,7 +292,7 @@
             server.speed = min(SPEED_RANGE[1], max(SPEED_RANGE[0], server.speed / scale))
 
     def _pressure(self, mean_us: float) -> float:
-        """Overload may show as time before anything fails: mean time over the part of the aim that is safe."""
+        """Overload may show as time before anything fails: mean time over the safe part of the aim."""
         total = sum(self.demand)
         if total <= 0:
             return 0.0
@@ -302,12 +307,12 @@
             if self.now - self.cut_us >= settled:  # reports lag: one cut for one overload
                 self.volume = good_rate * min(1.0, max(CUT_LEAST, 1 / max(pressure, 0.01)))
                 self.cut_us = self.now
-                self.out.append(Log(f"overload: failed {failures:.2f}, pressure {pressure:.2f}, V {self.volume:.0f}/s"))
+                self._log(f"overload: failed {failures:.2f}, pressure {pressure:.2f}, V {self.volume:.0f}/s")
         elif self.volume < float("inf"):
             self.volume *= GROW
             if self.volume >= sum(self.demand) and min(self.levels) >= 1:
                 self.volume = float("inf")
-                self.out.append(Log("overload over"))
+                self._log("overload over")
         self._solve()
 
     def _solve(self) -> None:
