--- a/kelpcourse/decide.py
+++ b/kelpcourse/decide.py
@@ -19,7 +19,7 @@
 TICK_US = 1_000_000  # the design's window: demand is read and the fill solved once a second
 PACE_US = 2_000_000  # ordinary lines go out at most this often; an order costs far less than a stale share
 OVERLOAD_SHARE = 0.05  # share of failed tries over the fleet: below it nothing is shed (the design's figure)
-NEAR_AIM = 0.5  # mean time over mean aim: times spread widely, so many are late when the mean is half the aim
+NEAR_AIM = 0.9  # mean time over mean aim: times spread widely, so many are late when the mean is half the aim
 GROW = 1.10  # way up: V per judged report while no overload shows, as V is measured under the levels it set
 CUT_LEAST = 0.7  # V after one cut, over the good rate: a late report of a burst must not shut the door
 LEVEL_LEAST = 0.05  # no class is ever shut out: some answers are needed to see that the load has gone
@@ -30,7 +30,7 @@
 SICK_TRIES = 4  # tries before a host is judged: fewer say too little
 HEALTH_LEAST = 0.04  # a sick host keeps this part: few requests are lost, enough to see it mend
 HEALTH_STEP = 2.0  # restoring: doubled at each report without trouble
-SPEED_GAIN = 0.5  # exponent of one correction towards equal times; 1 overshoots as reports are late and noisy
+SPEED_GAIN = 0.0  # exponent of one correction towards equal times; 1 overshoots as reports are late and noisy
 SPEED_RANGE = (0.25, 3.0)  # learned part of a weight
 SPEED_TRIES = 6  # tries before a mean time counts
 COLD_CAUTION = 0.7  # part of a cold host's least capacity that is planned with: retries swell load
