--- a/kelpcourse/decide.py
+++ b/kelpcourse/decide.py
@@ -30,8 +30,8 @@
 SICK_TRIES = 4  # tries before a host is judged: fewer say too little
 HEALTH_LEAST = 0.04  # a sick host keeps this part: few requests are lost, enough to see it mend
 HEALTH_STEP = 2.0  # restoring: doubled at each report without trouble
-SPEED_GAIN = 0.0  # exponent of one correction towards equal times; 1 overshoots as reports are late and noisy
-SPEED_RANGE = (0.25, 3.0)  # learned part of a weight
+SPEED_US = 10_000_000  # time in which speeds follow what is seen: reports are late and noisy, faster swings
+SPEED_RANGE = (0.4, 2.5)  # learned part of a weight
 SPEED_TRIES = 6  # tries before a mean time counts
 COLD_CAUTION = 0.7  # part of a cold host's least capacity that is planned with: retries swell load
 LINE_STEP = 0.08  # smaller relative changes of a weight are not worth a line
@@ -282,11 +282,11 @@
         if len(told) < 2:
             return
         mean = sum(v.time_us for v in told) / sum(v.good for v in told)
+        gain = min(1.0, self.s.report_period_us / SPEED_US)
         for server in told:
             own = server.time_us / server.good
             if own > 0:
-                speed = server.speed * (mean / own) ** SPEED_GAIN
-                server.speed = min(SPEED_RANGE[1], max(SPEED_RANGE[0], speed))
+                server.speed *= (mean / own) ** gain
         scale = sum(v.speed for v in told) / len(told)
         for server in told:
             server.speed = min(SPEED_RANGE[1], max(SPEED_RANGE[0], server.speed / scale))
