--- a/kelpcourse/decide.py
+++ b/kelpcourse/decide.py
@@ -32,6 +32,7 @@
 HEALTH_STEP = 2.0  # restoring: doubled at each report without trouble
 SPEED_US = 10_000_000  # time in which speeds follow what is seen: reports are late and noisy, faster swings
 SPEED_RANGE = (0.4, 2.5)  # learned part of a weight
+UTIL_LEAST = 0.1  # below it the noise of a load report is larger than what it says
 SPEED_TRIES = 6  # tries before a mean time counts
 COLD_CAUTION = 0.7  # part of a cold host's least capacity that is planned with: retries swell load
 LINE_STEP = 0.08  # smaller relative changes of a weight are not worth a line
@@ -277,16 +278,21 @@
         return failed / tries if tries else 0.0
 
     def _correct_speeds(self) -> None:
-        """Listed weights say little or nothing of speed: nudge shares towards equal times."""
+        """Listed weights say little or nothing of speed: let shares follow what hosts show they can do."""
         told = [v for v in self.servers.values() if v.good >= SPEED_TRIES and self._warmth(v) >= 1]
         if len(told) < 2:
             return
-        mean = sum(v.time_us for v in told) / sum(v.good for v in told)
         gain = min(1.0, self.s.report_period_us / SPEED_US)
-        for server in told:
-            own = server.time_us / server.good
-            if own > 0:
-                server.speed *= (mean / own) ** gain
+        able = {v.host.id: v.load["qps"] / v.load["util"] for v in told if v.load.get("util", 0) > UTIL_LEAST}
+        if len(able) == len(told):  # work done for each busy core: what it can do, whatever its load
+            mean = sum(able.values()) / len(able)
+            for server in told:
+                wanted = able[server.host.id] / mean
+                server.speed *= (max(wanted, 0.1) / server.speed) ** gain
+        else:  # times fall with speed and rise with load: nudge towards equal ones
+            mean = sum(v.time_us for v in told) / sum(v.good for v in told)
+            for server in told:
+                server.speed *= (mean * server.good / max(1.0, server.time_us)) ** gain
         scale = sum(v.speed for v in told) / len(told)
         for server in told:
             server.speed = min(SPEED_RANGE[1], max(SPEED_RANGE[0], server.speed / scale))
