See overload as a backlog of let in over ended, and keep V at the best good rate

Cause: the good rate shrinks in the collapse that it should answer, and mean time shows a burst 4 s late. The backlog (let in less ended, leaky) shows it a report earlier; what was ordered since the time the reports tell of is foreseen, so one overload is not met twice.

--- a/kelpcourse/decide.py
+++ b/kelpcourse/decide.py
@@ -19,9 +19,14 @@
 TICK_US = 1_000_000  # the design's window: demand is read and the fill solved once a second
 PACE_US = 2_000_000  # ordinary lines go out at most this often; an order costs far less than a stale share
 OVERLOAD_SHARE = 0.05  # share of failed tries over the fleet: below it nothing is shed (the design's figure)
-NEAR_AIM = 0.9  # mean time over mean aim: times spread widely, so many are late when the mean is half the aim
-GROW = 1.10  # way up: V per judged report while no overload shows, as V is measured under the levels it set
-CUT_LEAST = 0.7  # V after one cut, over the good rate: a late report of a burst must not shut the door
+NEAR_AIM = 0.8  # expected time over mean aim beyond which answers come too late: overload before failures
+BUSY_AIM = 0.5  # mean time over mean aim from which hosts are full, so that the good rate is what they can do
+GROW = 1.06  # way up a second: V is measured under the levels it set, so it grows while nothing is late
+FOLLOW_US = 3_000_000  # time in which V follows the good rate of full hosts; a collapse is faster
+DRAIN_US = 3_000_000  # a backlog is to be worked off in this time
+BACKLOG_US = 4_000_000  # time in which an estimated backlog is forgotten: its errors add up
+CUT_LEAST = 0.3  # part of V that is always let in: a wrong backlog must not shut the door
+REPORT_LATE_US = 700_000  # assumed lateness of a report beyond its period, which no setting tells
 LEVEL_LEAST = 0.05  # no class is ever shut out: some answers are needed to see that the load has gone
 LEVEL_STEP = 0.03  # smaller changes of a level are not worth an order
 SICK_SHARE = 0.05  # a host's failed share that halves its weight (the design's figure)
@@ -117,11 +122,14 @@
         self.levels_sent: dict[tuple[TableId, int], tuple[float, Retry]] = {}
         self.out_hosts: set[HostId] = set()
         self.levels = [1.0] * len(settings.classes)
-        self.volume = float("inf")
+        self.volume = 0.0  # best good rate heard lately
         self.demand = [0.0] * len(settings.classes)
         self.arrived: dict[tuple[ProxyId, int], list[float]] = {}
         self.heard: dict[tuple[HostId, str], list[float]] = {}
-        self.judged_us = self.lines_us = self.cut_us = 0
+        self.shedding = False
+        self.backlog = 0.0
+        self.level_log: deque[tuple[int, list[float]]] = deque([(0, list(self.levels))])
+        self.judged_us = self.lines_us = 0
         self.watching = False
         self.ask_wait_us = ASK_FIRST_US
         self.ask_due_us = 0
@@ -233,10 +241,10 @@
     # Judging hosts and load
 
     def _judge(self) -> None:
-        tries = sum(c[0] for c in self.heard.values())
-        failed = sum(c[1] for c in self.heard.values())
-        time_us = sum(c[2] for c in self.heard.values())
-        good_rate = sum((c[0] - c[1]) / c[3] for c in self.heard.values() if c[3] > 0)
+        cells = list(self.heard.values())
+        tries, failed, time_us = (sum(c[k] for c in cells) for k in range(3))
+        rates = [sum(c[k] / c[3] for c in cells if c[3] > 0) for k in range(2)]
+        span = sum(c[3] for c in cells) / len(cells)
         self.judged_us = self.now
         self.heard.clear()
         sick = self._judge_hosts()
@@ -244,9 +252,8 @@
         for i in range(len(self.demand)):
             self.demand[i] = sum(c[0] / c[1] for (_, k), c in self.arrived.items() if k == i and c[1] > 0)
         self.arrived.clear()
-        good = tries - failed
-        mean_us = time_us / good if good > 0 else 0.0
-        self._judge_load(good_rate, self._spread_failures(sick), self._pressure(mean_us))
+        mean_us = time_us / (tries - failed) if tries > failed else 0.0
+        self._judge_load(rates[0], rates[0] - rates[1], self._spread_failures(sick), mean_us, span)
 
     def _judge_hosts(self) -> set[HostId]:
         """Errors held to few hosts are theirs; spread over the fleet they are overload and blame no host."""
@@ -297,37 +304,56 @@
         for server in told:
             server.speed = min(SPEED_RANGE[1], max(SPEED_RANGE[0], server.speed / scale))
 
-    def _pressure(self, mean_us: float) -> float:
-        """Overload may show as time before anything fails: mean time over the safe part of the aim."""
+    def _mean_aim(self) -> float:
         total = sum(self.demand)
         if total <= 0:
-            return 0.0
-        aim = sum(n * c.aim_us for n, c in zip(self.demand, self.s.classes, strict=True)) / total
-        return mean_us / (NEAR_AIM * aim)
+            return float("inf")
+        return sum(n * c.aim_us for n, c in zip(self.demand, self.s.classes, strict=True)) / total
 
-    def _judge_load(self, good_rate: float, failures: float, pressure: float) -> None:
+    def _let_in(self, when: int) -> float:
+        """Rate let in by the levels ordered at a time."""
+        levels = next((lv for at, lv in reversed(self.level_log) if at <= when), self.level_log[0][1])
+        return sum(n * lv for n, lv in zip(self.demand, levels, strict=True))
+
+    def _judge_load(self, ended: float, good: float, failures: float, mean_us: float, span: float) -> None:
+        """Overload shows as failures everywhere, as time near the aim, or first as more let in than ended."""
         if self.s.admission is Admission.NONE:
             return
-        settled = self.s.transit_longest_us + self.s.report_period_us + TICK_US
-        if failures > OVERLOAD_SHARE or pressure > 1:
-            if self.now - self.cut_us >= settled:  # reports lag: one cut for one overload
-                self.volume = good_rate * min(1.0, max(CUT_LEAST, 1 / max(pressure, 0.01)))
-                self.cut_us = self.now
-                self._log(f"overload: failed {failures:.2f}, pressure {pressure:.2f}, V {self.volume:.0f}/s")
-        elif self.volume < float("inf"):
-            self.volume *= GROW
-            if self.volume >= sum(self.demand) and min(self.levels) >= 1:
-                self.volume = float("inf")
-                self._log("overload over")
-        self._solve()
-
-    def _solve(self) -> None:
-        if self.volume == float("inf"):
+        aim = self._mean_aim()
+        lag_us = REPORT_LATE_US + self.s.transit_mean_us + int(span * 5e5)
+        grown = (self._let_in(self.now - lag_us) - ended) * span
+        self.backlog = max(0.0, self.backlog * max(0.0, 1 - span * 1e6 / BACKLOG_US) + grown)
+        busy = mean_us > BUSY_AIM * aim or failures > OVERLOAD_SHARE
+        if good > self.volume:
+            self.volume = good
+        elif busy:
+            able = good + (ended - good) / 2  # what timed out took work too
+            self.volume += (able - self.volume) * min(1.0, span * 1e6 / FOLLOW_US)
+        elif self.shedding:
+            self.volume *= GROW ** span
+        expected = mean_us + self.backlog / max(good, 1.0) * 1e6
+        if failures > OVERLOAD_SHARE or expected > NEAR_AIM * aim:
+            if not self.shedding:
+                self._log(f"overload: failed {failures:.2f}, expected {expected / 1e6:.2f} s,"
+                          f" V {self.volume:.0f}/s")
+            self.shedding = True
+        elif self.shedding and not busy and sum(self.demand) <= self.volume:
+            self.shedding = False
+            self._log(f"overload over, V {self.volume:.0f}/s")
+        self._solve(lag_us)
+
+    def _solve(self, lag_us: int) -> None:
+        if not self.shedding:
             self.levels = [1.0] * len(self.levels)
             return
+        # What was let in since the time the reports tell of is foreseen, so that no overload is met twice.
+        steps = 8
+        unseen = sum(self._let_in(self.now - lag_us * k // steps) - self.volume for k in range(steps))
+        backlog = max(0.0, self.backlog + unseen * lag_us / steps / 1e6)
+        volume = max(CUT_LEAST * self.volume, self.volume - backlog * 1e6 / DRAIN_US)
         worth = [c.worth for c in self.s.classes]
-        lower = worth_bounds(self.demand, worth, self.volume)
-        admitted = fill(self.demand, self.volume, lower, [1.0] * len(worth))
+        lower = worth_bounds(self.demand, worth, volume)
+        admitted = fill(self.demand, volume, lower, [1.0] * len(worth))
         self.levels = [max(LEVEL_LEAST, x / n) if n > 0 else 1.0
                        for x, n in zip(admitted, self.demand, strict=True)]
 
@@ -435,6 +461,9 @@
 
     def _send_levels(self) -> float:
         cost = 0.0
+        self.level_log.append((self.now, list(self.levels)))
+        while len(self.level_log) > 20:
+            self.level_log.popleft()
         for i in range(len(self.levels)):
             level, retry = self.levels[i], self._retry(i)
             for table in dict.fromkeys(self.keys[self._key(i, zone)] for zone in self.s.zones):
