Hold every order to a proxy's message cap, and let the backlog rest at rate times time

New hosts now wait for the pace, urgent ones are merged, and nothing is written to a proxy past the cap. The backlog counted in-flight requests twice at the start and shed there for 5 s; it now relaxes to good rate times mean time.

--- a/kelpcourse/decide.py
+++ b/kelpcourse/decide.py
@@ -24,6 +24,7 @@
 GROW = 1.06  # way up a second: V is measured under the levels it set, so it grows while nothing is late
 FOLLOW_US = 3_000_000  # time in which V follows the good rate of full hosts; a collapse is faster
 DRAIN_US = 3_000_000  # a backlog is to be worked off in this time
+REST_AIM = 0.4  # a backlog worth this part of the aim may stay: hosts should not run dry
 BACKLOG_US = 4_000_000  # time in which an estimated backlog is forgotten: its errors add up
 CUT_LEAST = 0.3  # part of V that is always let in: a wrong backlog must not shut the door
 REPORT_LATE_US = 700_000  # assumed lateness of a report beyond its period, which no setting tells
@@ -120,7 +121,8 @@
         self.keys = self._table_keys()
         self.lines: dict[TableId, dict[HostId, float]] = {t: {} for t in self.keys.values()}
         self.levels_sent: dict[tuple[TableId, int], tuple[float, Retry]] = {}
-        self.out_hosts: set[HostId] = set()
+        self.out_hosts: set[HostId] = set()  # withdrawn by this instance
+        self.dropped: set[HostId] = set()  # to be withdrawn with the next orders
         self.levels = [1.0] * len(settings.classes)
         self.volume = 0.0  # best good rate heard lately
         self.demand = [0.0] * len(settings.classes)
@@ -134,12 +136,12 @@
         self.ask_wait_us = ASK_FIRST_US
         self.ask_due_us = 0
         self.number = 0
-        self.urgent = False
+        self.urgent = False  # until the next orders are out
 
     # Taking events in
 
     def step(self, now_us: int, events: Sequence[Event]) -> list[Action]:
-        self.now, self.out, self.urgent = now_us, [], False
+        self.now, self.out = now_us, []
         for event in events:
             self._take(event)
         if self.heard and now_us - self.judged_us >= min(TICK_US, self.s.report_period_us) // 2:
@@ -203,19 +205,18 @@
         known = self.servers.get(host.id)
         if known is None or known.host.started_us != host.started_us:
             self.servers[host.id] = Server(host, told_us=self.now)
+            self.dropped.discard(host.id)
             if known is not None:
                 self.servers[host.id].speed = known.speed  # the same machine, started anew
-            self.urgent = self.urgent or self._warmth(self.servers[host.id]) < 1
+            held = any(host.id in lines for lines in self.lines.values())
+            self.urgent = self.urgent or (held and self._warmth(self.servers[host.id]) < 1)
         else:
             known.host = host
-        if host.id in self.out_hosts:
-            self.urgent = True
 
     def _drop(self, host: HostId) -> None:
-        """Rule 3: a draining or gone host is withdrawn at once and leaves every table."""
-        if self.servers.pop(host, None) is not None or host not in self.out_hosts:
-            self.out_hosts.add(host)
-            self.out.append(Withdraw(host, True))
+        self.servers.pop(host, None)
+        if host not in self.out_hosts:
+            self.dropped.add(host)
             self.urgent = True
 
     def _take_report(self, event: HostReport) -> None:
@@ -322,7 +323,9 @@
         aim = self._mean_aim()
         lag_us = REPORT_LATE_US + self.s.transit_mean_us + int(span * 5e5)
         grown = (self._let_in(self.now - lag_us) - ended) * span
-        self.backlog = max(0.0, self.backlog * max(0.0, 1 - span * 1e6 / BACKLOG_US) + grown)
+        usual = good * mean_us / 1e6  # held at once if nothing piles up: an estimate falls back to it
+        self.backlog += (usual - self.backlog) * min(1.0, span * 1e6 / BACKLOG_US) + grown
+        self.backlog = max(0.0, self.backlog)
         busy = mean_us > BUSY_AIM * aim or failures > OVERLOAD_SHARE
         if good > self.volume:
             self.volume = good
@@ -331,7 +334,7 @@
             self.volume += (able - self.volume) * min(1.0, span * 1e6 / FOLLOW_US)
         elif self.shedding:
             self.volume *= GROW ** span
-        expected = mean_us + self.backlog / max(good, 1.0) * 1e6
+        expected = max(mean_us, self.backlog / max(good, 1.0) * 1e6)
         if failures > OVERLOAD_SHARE or expected > NEAR_AIM * aim:
             if not self.shedding:
                 self._log(f"overload: failed {failures:.2f}, expected {expected / 1e6:.2f} s,"
@@ -340,17 +343,17 @@
         elif self.shedding and not busy and sum(self.demand) <= self.volume:
             self.shedding = False
             self._log(f"overload over, V {self.volume:.0f}/s")
-        self._solve(lag_us)
+        self._solve(lag_us, aim)
 
-    def _solve(self, lag_us: int) -> None:
+    def _solve(self, lag_us: int, aim: float) -> None:
         if not self.shedding:
             self.levels = [1.0] * len(self.levels)
             return
         # What was let in since the time the reports tell of is foreseen, so that no overload is met twice.
         steps = 8
         unseen = sum(self._let_in(self.now - lag_us * k // steps) - self.volume for k in range(steps))
-        backlog = max(0.0, self.backlog + unseen * lag_us / steps / 1e6)
-        volume = max(CUT_LEAST * self.volume, self.volume - backlog * 1e6 / DRAIN_US)
+        backlog = self.backlog + unseen * lag_us / steps / 1e6 - self.volume * REST_AIM * aim / 1e6
+        volume = max(CUT_LEAST * self.volume, self.volume - max(0.0, backlog) * 1e6 / DRAIN_US)
         worth = [c.worth for c in self.s.classes]
         lower = worth_bounds(self.demand, worth, volume)
         admitted = fill(self.demand, volume, lower, [1.0] * len(worth))
@@ -410,31 +413,39 @@
         """Lines not known to be applied: more than wait in the channel, never fewer."""
         return sum(sum(p.unapplied.values()) for p in self.proxies.values())
 
-    def _may_send(self, p: Proxy) -> bool:
-        if not self.s.messages_most:
-            return True
+    def _messages_left(self, p: Proxy) -> int:
+        """Rule 5: what may still be written to a proxy within the span that is counted."""
         while p.sent and p.sent[0] <= self.now - self.s.messages_over_us:
             p.sent.popleft()
-        return len(p.sent) < int(self.s.messages_most * MESSAGES_ORDINARY)
+        return self.s.messages_most - len(p.sent) if self.s.messages_most else 1000
 
     def _ordinary_open(self) -> bool:
+        reserve = self.s.messages_most * (1 - MESSAGES_ORDINARY)
         return (self._queued() < QUEUE_ORDINARY * self.s.channel_backlog
-                and all(self._may_send(p) for p in self.proxies.values()))
+                and all(self._messages_left(p) > reserve for p in self.proxies.values()))
 
     def _publish(self) -> None:
-        if self.s.slices:
+        if self.s.slices or any(self._messages_left(p) < 1 for p in self.proxies.values()):
             return
-        cost = sum(1.0 for a in self.out if isinstance(a, Withdraw))
+        cost = self._withdraw_dropped() if self.urgent else 0.0
         paced = self.now - self.lines_us >= PACE_US and self._ordinary_open()
         if self.urgent or paced:
             cost += self._send_lines()
             self.lines_us = self.now
         if paced or (self.urgent and not self.levels_sent):
             cost += self._send_levels()
-        everyone = cost > 0
+        self.urgent = False
         bind_cost = self._bind_joined()
-        if everyone or bind_cost:
-            self._checkpoint(cost, bind_cost, everyone)
+        if cost or bind_cost:
+            self._checkpoint(cost, bind_cost)
+
+    def _withdraw_dropped(self) -> float:
+        """Rule 3: a host that drains or is gone is withdrawn at once, whatever tables hold it."""
+        fresh = sorted(self.dropped - self.out_hosts)
+        self.out += [Withdraw(host, True) for host in fresh]
+        self.out_hosts |= self.dropped
+        self.dropped.clear()
+        return float(len(fresh))
 
     def _send_lines(self) -> float:
         cost = 0.0
@@ -493,11 +504,11 @@
             proxy.bound = True
         return cost
 
-    def _checkpoint(self, cost: float, bind_cost: dict[ProxyId, float], everyone: bool) -> None:
+    def _checkpoint(self, cost: float, bind_cost: dict[ProxyId, float]) -> None:
         self.number = (self.number + 1) % 65536
         self.out.append(Checkpoint(self.number, False))
         for number, proxy in self.proxies.items():
-            if everyone or number in bind_cost:
+            if cost or number in bind_cost:
                 lines = self.s.message_head + 1 + cost + bind_cost.get(number, 0.0)
                 proxy.unapplied[self.number] = lines
                 proxy.sent.append(self.now)
