--- a/kelpcourse/decide.py
+++ b/kelpcourse/decide.py
@@ -31,11 +31,12 @@
 LEVEL_LEAST = 0.05  # no class is ever shut out: some answers are needed to see that the load has gone
 LEVEL_STEP = 0.03  # smaller changes of a level are not worth an order
 SICK_SHARE = 0.05  # a host's failed share that halves its weight (the design's figure)
-SICK_TIMES = 3.0  # and it must fail this many times as often as the rest, or the trouble is everybody's
+SICK_TIMES = 3.0  # and it must fail this many times as often as the rest would, and one more, by chance
 SICK_MOST = 0.4  # share of the fleet judged sick at most; beyond it the trouble is everybody's
-SICK_TRIES = 4  # tries before a host is judged: fewer say too little
+FADE = 0.5  # what is kept of a host's counts from report to report
+RESTORE_US = 3_000_000  # a sick host goes a step up after so long without cause: few tries must not hold it
 HEALTH_LEAST = 0.04  # a sick host keeps this part: few requests are lost, enough to see it mend
-HEALTH_STEP = 2.0  # restoring: doubled at each report without trouble
+HEALTH_STEP = 2.0  # restoring: doubled at each step
 SPEED_US = 10_000_000  # time in which speeds follow what is seen: reports are late and noisy, faster swings
 SPEED_RANGE = (0.4, 2.5)  # learned part of a weight
 UTIL_LEAST = 0.1  # below it the noise of a load report is larger than what it says
@@ -55,16 +56,17 @@
     host: Host
     speed: float = 1.0
     health: float = 1.0
-    told_us: int = 0
-    tries: int = 0
-    failed: int = 0
-    good: int = 0
+    cut_us: int = 0
+    eased_us: int = 0
+    tries: float = 0.0
+    failed: float = 0.0
+    good: float = 0.0
     time_us: float = 0.0
     load: dict[str, float] = field(default_factory=dict)
 
-    def forget(self) -> None:
-        self.tries = self.failed = self.good = 0
-        self.time_us = 0.0
+    def fade(self) -> None:
+        self.tries, self.failed, self.good, self.time_us = (
+            x * FADE for x in (self.tries, self.failed, self.good, self.time_us))
 
 
 @dataclass
@@ -204,7 +206,7 @@
             return
         known = self.servers.get(host.id)
         if known is None or known.host.started_us != host.started_us:
-            self.servers[host.id] = Server(host, told_us=self.now)
+            self.servers[host.id] = Server(host)
             self.dropped.discard(host.id)
             if known is not None:
                 self.servers[host.id].speed = known.speed  # the same machine, started anew
@@ -260,29 +262,31 @@
         """Errors held to few hosts are theirs; spread over the fleet they are overload and blame no host."""
         total = sum(v.tries for v in self.servers.values())
         failed = sum(v.failed for v in self.servers.values())
+        settle_us = self.s.transit_mean_us + self.s.report_period_us + REPORT_LATE_US
         suspects = []
         for server in self.servers.values():
-            if server.tries < SICK_TRIES:
-                continue
-            share = server.failed / server.tries
-            rest = (failed - server.failed) / max(1, total - server.tries)
-            if server.failed >= 2 and share > SICK_SHARE and share > SICK_TIMES * rest:
-                suspects.append((share, server))
-            elif share <= SICK_SHARE:
-                server.health = min(1.0, server.health * HEALTH_STEP)
+            rest = (failed - server.failed) / max(1.0, total - server.tries)
+            share = server.failed / max(1.0, server.tries)
+            if share > SICK_SHARE and server.failed > SICK_TIMES * (rest * server.tries + 1):
+                if self.now - server.cut_us >= settle_us:  # what was in flight at the cut says nothing new
+                    suspects.append((share, server))
+            elif server.health < 1 and self.now - max(server.cut_us, server.eased_us) >= RESTORE_US:
+                server.health, server.eased_us = min(1.0, server.health * HEALTH_STEP), self.now
         suspects.sort(key=lambda pair: (-pair[0], pair[1].host.id))
-        sick = suspects[:int(SICK_MOST * len(self.servers))]
-        for share, server in sick:
-            server.health = max(HEALTH_LEAST, server.health * min(0.5, (1 - share) ** 2))
-        return {server.host.id for _, server in sick} | {
-            v.host.id for v in self.servers.values() if v.health < 1}
+        spared = sum(1 for v in self.servers.values() if v.health < 1)
+        for share, server in suspects:
+            if server.health < 1 or spared < SICK_MOST * len(self.servers):
+                spared += server.health >= 1
+                server.health = max(HEALTH_LEAST, server.health * min(0.5, (1 - share) ** 2))
+                server.cut_us = self.now
+        return {v.host.id for v in self.servers.values() if v.health < 1}
 
     def _spread_failures(self, sick: set[HostId]) -> float:
+        """Share failed at hosts not held sick; what was heard then fades, so that few tries add up."""
         tries = sum(v.tries for h, v in self.servers.items() if h not in sick)
         failed = sum(v.failed for h, v in self.servers.items() if h not in sick)
         for server in self.servers.values():
-            if server.tries >= SICK_TRIES:
-                server.forget()
+            server.fade()
         return failed / tries if tries else 0.0
 
     def _correct_speeds(self) -> None:
