--- a/kelpcourse/decide.py
+++ b/kelpcourse/decide.py
@@ -432,11 +432,11 @@
         if self.s.slices or any(self._messages_left(p) < 1 for p in self.proxies.values()):
             return
         cost = self._withdraw_dropped() if self.urgent else 0.0
-        paced = self.now - self.lines_us >= PACE_US and self._ordinary_open()
-        if self.urgent or paced:
+        ordinary = self._ordinary_open()
+        if self.urgent or (ordinary and self.now - self.lines_us >= PACE_US):
             cost += self._send_lines()
             self.lines_us = self.now
-        if paced or (self.urgent and not self.levels_sent):
+        if cost or ordinary:  # levels answer an overload: they wait for no pace, only for the channel
             cost += self._send_levels()
         self.urgent = False
         bind_cost = self._bind_joined()
