--- a/kelpcourse/decide.py
+++ b/kelpcourse/decide.py
@@ -29,6 +29,7 @@
 CUT_LEAST = 0.3  # part of V that is always let in: a wrong backlog must not shut the door
 REPORT_LATE_US = 700_000  # assumed lateness of a report beyond its period, which no setting tells
 LEVEL_LEAST = 0.05  # no class is ever shut out: some answers are needed to see that the load has gone
+LEVEL_FALL = 0.1  # a fall of a level by this much is sent ahead of the pace
 LEVEL_STEP = 0.03  # smaller changes of a level are not worth an order
 SICK_SHARE = 0.05  # a host's failed share that halves its weight (the design's figure)
 SICK_TIMES = 3.0  # and it must fail this many times as often as the rest would, and one more, by chance
@@ -432,17 +433,19 @@
         if self.s.slices or any(self._messages_left(p) < 1 for p in self.proxies.values()):
             return
         cost = self._withdraw_dropped() if self.urgent else 0.0
-        ordinary = self._ordinary_open()
-        if self.urgent or (ordinary and self.now - self.lines_us >= PACE_US):
-            cost += self._send_lines()
+        due = self.now - self.lines_us >= PACE_US or self._levels_fall()
+        if self.urgent or (due and self._ordinary_open()):  # one message for all that has changed
+            cost += self._send_lines() + self._send_levels()
             self.lines_us = self.now
-        if cost or ordinary:  # levels answer an overload: they wait for no pace, only for the channel
-            cost += self._send_levels()
         self.urgent = False
         bind_cost = self._bind_joined()
         if cost or bind_cost:
             self._checkpoint(cost, bind_cost)
 
+    def _levels_fall(self) -> bool:
+        """An overload is answered at once, not with the lines' pace: drains restart that again and again."""
+        return any(self.levels[i] < level - LEVEL_FALL for (_, i), (level, _) in self.levels_sent.items())
+
     def _withdraw_dropped(self) -> float:
         """Rule 3: a host that drains or is gone is withdrawn at once, whatever tables hold it."""
         fresh = sorted(self.dropped - self.out_hosts)
