--- a/kelpcourse/decide.py
+++ b/kelpcourse/decide.py
@@ -133,6 +133,7 @@
         self.heard: dict[tuple[HostId, str], list[float]] = {}
         self.shedding = False
         self.backlog = 0.0
+        self.fleet = 0.0  # what the open hosts can do by their weights, when V was last set against it
         self.level_log: deque[tuple[int, list[float]]] = deque([(0, list(self.levels))])
         self.judged_us = self.lines_us = 0
         self.watching = False
@@ -326,6 +327,7 @@
         if self.s.admission is Admission.NONE:
             return
         aim = self._mean_aim()
+        self._follow_fleet()
         lag_us = REPORT_LATE_US + self.s.transit_mean_us + int(span * 5e5)
         grown = (self._let_in(self.now - lag_us) - ended) * span
         usual = good * mean_us / 1e6  # held at once if nothing piles up: an estimate falls back to it
@@ -350,6 +352,13 @@
             self._log(f"overload over, V {self.volume:.0f}/s")
         self._solve(lag_us, aim)
 
+    def _follow_fleet(self) -> None:
+        """V was heard from another fleet if hosts came, went or warmed up since: scale it with them."""
+        fleet = sum(v.host.weight * v.speed * v.health * self._warmth(v) for v in self.servers.values())
+        if fleet > 0 and self.fleet > 0:
+            self.volume *= fleet / self.fleet
+        self.fleet = fleet
+
     def _solve(self, lag_us: int, aim: float) -> None:
         if not self.shedding:
             self.levels = [1.0] * len(self.levels)
