Quick failures are no overload, and V keeps a floor of its best

Ruled out: sick hosts (all alike), a cut path (both zones alike), overload (mean time fell, failures did not).

--- a/kelpcourse/decide.py
+++ b/kelpcourse/decide.py
@@ -21,6 +21,9 @@
 OVERLOAD_SHARE = 0.05  # share of failed tries over the fleet: below it nothing is shed (the design's figure)
 NEAR_AIM = 0.8  # expected time over mean aim beyond which answers come too late: overload before failures
 BUSY_AIM = 0.5  # mean time over mean aim from which hosts are full, so that the good rate is what they can do
+QUICK_AIM = 0.35  # failures with mean times under this part of the aim are not of load: less load won't help
+BEST_KEPT = 0.98  # kept of the best good rate each second
+VOLUME_LEAST = 0.4  # of that best: V is measured under its own levels and must not ratchet down
 GROW = 1.06  # way up a second: V is measured under the levels it set, so it grows while nothing is late
 FOLLOW_US = 3_000_000  # time in which V follows the good rate of full hosts; a collapse is faster
 DRAIN_US = 3_000_000  # a backlog is to be worked off in this time
@@ -127,7 +130,8 @@
         self.out_hosts: set[HostId] = set()  # withdrawn by this instance
         self.dropped: set[HostId] = set()  # to be withdrawn with the next orders
         self.levels = [1.0] * len(settings.classes)
-        self.volume = 0.0  # best good rate heard lately
+        self.volume = 0.0  # V: best good rate heard lately, a second
+        self.best = 0.0  # best good rate of a longer while, which V does not fall far under
         self.demand = [0.0] * len(settings.classes)
         self.arrived: dict[tuple[ProxyId, int], list[float]] = {}
         self.heard: dict[tuple[HostId, str], list[float]] = {}
@@ -333,7 +337,9 @@
         usual = good * mean_us / 1e6  # held at once if nothing piles up: an estimate falls back to it
         self.backlog += (usual - self.backlog) * min(1.0, span * 1e6 / BACKLOG_US) + grown
         self.backlog = max(0.0, self.backlog)
-        busy = mean_us > BUSY_AIM * aim or failures > OVERLOAD_SHARE
+        failing = failures > OVERLOAD_SHARE and mean_us > QUICK_AIM * aim  # a lossy path fails, not slowly
+        busy = mean_us > BUSY_AIM * aim or failing
+        self.best = max(self.best * BEST_KEPT ** span, good)
         if good > self.volume:
             self.volume = good
         elif busy:
@@ -341,8 +347,9 @@
             self.volume += (able - self.volume) * min(1.0, span * 1e6 / FOLLOW_US)
         elif self.shedding:
             self.volume *= GROW ** span
-        expected = max(mean_us, self.backlog / max(good, 1.0) * 1e6)
-        if failures > OVERLOAD_SHARE or expected > NEAR_AIM * aim:
+        self.volume = max(self.volume, VOLUME_LEAST * self.best, 1.0)
+        expected = max(mean_us, self.backlog / self.volume * 1e6)
+        if failing or expected > NEAR_AIM * aim:
             if not self.shedding:
                 self._log(f"overload: failed {failures:.2f}, expected {expected / 1e6:.2f} s,"
                           f" V {self.volume:.0f}/s")
@@ -357,6 +364,7 @@
         fleet = sum(v.host.weight * v.speed * v.health * self._warmth(v) for v in self.servers.values())
         if fleet > 0 and self.fleet > 0:
             self.volume *= fleet / self.fleet
+            self.best *= fleet / self.fleet
         self.fleet = fleet
 
     def _solve(self, lag_us: int, aim: float) -> None:
