Compare a host's odds of failing with the rest's

A dead host beside loaded ones could not be told when the rest failed in more than a third of tries.

--- a/kelpcourse/decide.py
+++ b/kelpcourse/decide.py
@@ -35,7 +35,8 @@
 LEVEL_FALL = 0.1  # a fall of a level by this much is sent ahead of the pace
 LEVEL_STEP = 0.03  # smaller changes of a level are not worth an order
 SICK_SHARE = 0.05  # a host's failed share that halves its weight (the design's figure)
-SICK_TIMES = 3.0  # and it must fail this many times as often as the rest would, and one more, by chance
+SICK_LEAST = 4  # failures before a host is judged: fewer come by chance
+SICK_TIMES = 10.0  # and its failures for each good answer, over the rest: else the trouble is everybody's
 SICK_MOST = 0.4  # share of the fleet judged sick at most; beyond it the trouble is everybody's
 FADE = 0.5  # what is kept of a host's counts from report to report
 RESTORE_US = 3_000_000  # a sick host goes a step up after so long without cause: few tries must not hold it
@@ -271,9 +272,10 @@
         settle_us = self.s.transit_mean_us + self.s.report_period_us + REPORT_LATE_US
         suspects = []
         for server in self.servers.values():
-            rest = (failed - server.failed) / max(1.0, total - server.tries)
+            good = server.tries - server.failed
+            rest = (failed - server.failed) / max(1.0, total - server.tries - failed + server.failed)
             share = server.failed / max(1.0, server.tries)
-            if share > SICK_SHARE and server.failed > SICK_TIMES * (rest * server.tries + 1):
+            if share > SICK_SHARE and server.failed >= max(SICK_LEAST, SICK_TIMES * rest * (good + 1)):
                 if self.now - server.cut_us >= settle_us:  # what was in flight at the cut says nothing new
                     suspects.append((share, server))
             elif server.health < 1 and self.now - max(server.cut_us, server.eased_us) >= RESTORE_US:
