--- a/kelpcourse/decide.py
+++ b/kelpcourse/decide.py
@@ -41,7 +41,9 @@
 FADE = 0.5  # what is kept of a host's counts from report to report
 RESTORE_US = 3_000_000  # a sick host goes a step up after so long without cause: few tries must not hold it
 HEALTH_LEAST = 0.04  # a sick host keeps this part: few requests are lost, enough to see it mend
-HEALTH_STEP = 2.0  # restoring: doubled at each step
+HEALTH_STEP = 2.0  # restoring, where nothing was heard: doubled at each step
+HEALTH_PROVEN = 4.0  # restoring, where good answers came: a mended zone must not leave the rest to drown
+CALM_LEAST = 3  # good answers in a row that prove
 SPEED_US = 10_000_000  # time in which speeds follow what is seen: reports are late and noisy, faster swings
 SPEED_RANGE = (0.4, 2.5)  # learned part of a weight
 UTIL_LEAST = 0.1  # below it the noise of a load report is larger than what it says
@@ -66,6 +68,7 @@
     tries: float = 0.0
     failed: float = 0.0
     good: float = 0.0
+    calm: int = 0  # good answers since the last failure, or since the last step up
     time_us: float = 0.0
     load: dict[str, float] = field(default_factory=dict)
 
@@ -240,6 +243,7 @@
             server.tries += event.tries
             server.failed += event.failed
             server.good += good
+            server.calm = server.calm + good if event.failed <= SICK_SHARE * event.tries else 0
             server.time_us += good * event.good_time_us
             server.load.update(event.load)
 
@@ -278,8 +282,12 @@
             if share > SICK_SHARE and server.failed >= max(SICK_LEAST, SICK_TIMES * rest * (good + 1)):
                 if self.now - server.cut_us >= settle_us:  # what was in flight at the cut says nothing new
                     suspects.append((share, server))
-            elif server.health < 1 and self.now - max(server.cut_us, server.eased_us) >= RESTORE_US:
-                server.health, server.eased_us = min(1.0, server.health * HEALTH_STEP), self.now
+            elif server.health < 1:
+                proven = server.calm >= CALM_LEAST
+                if proven or self.now - max(server.cut_us, server.eased_us) >= RESTORE_US:
+                    step = HEALTH_PROVEN if proven else HEALTH_STEP
+                    server.health, server.eased_us = min(1.0, server.health * step), self.now
+                    server.calm = 0
         suspects.sort(key=lambda pair: (-pair[0], pair[1].host.id))
         spared = sum(1 for v in self.servers.values() if v.health < 1)
         for share, server in suspects:
