Miss a host where no try ends before its time-outs show

Tries at a host that answers nothing end only at their time-out, 2 to 5 s late. One that should have seen eight tries end while none did is now cut as if all had failed.

--- a/kelpcourse/decide.py
+++ b/kelpcourse/decide.py
@@ -37,6 +37,7 @@
 SICK_SHARE = 0.05  # a host's failed share that halves its weight (the design's figure)
 SICK_LEAST = 4  # failures before a host is judged: fewer come by chance
 SICK_TIMES = 10.0  # and its failures for each good answer, over the rest: else the trouble is everybody's
+SILENT_TRIES = 8.0  # tries that should have ended at a host while none did: it is held to answer nothing
 SICK_MOST = 0.4  # share of the fleet judged sick at most; beyond it the trouble is everybody's
 FADE = 0.5  # what is kept of a host's counts from report to report
 RESTORE_US = 3_000_000  # a sick host goes a step up after so long without cause: few tries must not hold it
@@ -68,6 +69,7 @@
     tries: float = 0.0
     failed: float = 0.0
     good: float = 0.0
+    silent: float = 0.0  # tries that should have ended there since any did
     calm: int = 0  # good answers since the last failure, or since the last step up
     time_us: float = 0.0
     load: dict[str, float] = field(default_factory=dict)
@@ -216,7 +218,7 @@
             return
         known = self.servers.get(host.id)
         if known is None or known.host.started_us != host.started_us:
-            self.servers[host.id] = Server(host)
+            self.servers[host.id] = Server(host, eased_us=self.now)
             self.dropped.discard(host.id)
             if known is not None:
                 self.servers[host.id].speed = known.speed  # the same machine, started anew
@@ -260,6 +262,7 @@
         rates = [sum(c[k] / c[3] for c in cells if c[3] > 0) for k in range(2)]
         span = sum(c[3] for c in cells) / len(cells)
         self.judged_us = self.now
+        self._count_silence(tries, {host for host, _ in self.heard})
         self.heard.clear()
         sick = self._judge_hosts()
         self._correct_speeds()
@@ -269,19 +272,34 @@
         mean_us = time_us / (tries - failed) if tries > failed else 0.0
         self._judge_load(rates[0], rates[0] - rates[1], self._spread_failures(sick), mean_us, span)
 
+    def _settle_us(self) -> int:
+        """From an order until a report tells of what came after it."""
+        return self.s.transit_mean_us + self.s.report_period_us + REPORT_LATE_US
+
+    def _count_silence(self, tries: float, ended: set[HostId]) -> None:
+        """Tries at a host that answers nothing end only at their time-out: it is missed before they fail."""
+        lines = next(iter(self.lines.values()))
+        total = sum(lines.values())
+        for number, server in self.servers.items():
+            if number in ended or self.now - server.eased_us < 2 * self._settle_us():
+                server.silent = 0.0
+            elif total > 0:
+                server.silent += tries * lines.get(number, 0.0) / total
+
     def _judge_hosts(self) -> set[HostId]:
         """Errors held to few hosts are theirs; spread over the fleet they are overload and blame no host."""
         total = sum(v.tries for v in self.servers.values())
         failed = sum(v.failed for v in self.servers.values())
-        settle_us = self.s.transit_mean_us + self.s.report_period_us + REPORT_LATE_US
         suspects = []
         for server in self.servers.values():
             good = server.tries - server.failed
             rest = (failed - server.failed) / max(1.0, total - server.tries - failed + server.failed)
             share = server.failed / max(1.0, server.tries)
-            if share > SICK_SHARE and server.failed >= max(SICK_LEAST, SICK_TIMES * rest * (good + 1)):
-                if self.now - server.cut_us >= settle_us:  # what was in flight at the cut says nothing new
-                    suspects.append((share, server))
+            silent = server.silent >= SILENT_TRIES
+            failing = server.failed >= max(SICK_LEAST, SICK_TIMES * rest * (good + 1)) and share > SICK_SHARE
+            if failing or silent:
+                if self.now - server.cut_us >= self._settle_us():  # what was in flight then says nothing new
+                    suspects.append((1.0 if silent else share, server))
             elif server.health < 1:
                 proven = server.calm >= CALM_LEAST
                 if proven or self.now - max(server.cut_us, server.eased_us) >= RESTORE_US:
