Test rules, load, hosts, discovery and the adapter; bind a table only once it has lines

Found by a test of the module alone: a proxy that joined before a class had any open host was never bound to that class's table (rule 1).

--- a/kelpcourse/decide.py
+++ b/kelpcourse/decide.py
@@ -84,7 +84,7 @@
     """A joined proxy: where it is and what it was sent."""
 
     zone: str
-    bound: bool = False
+    bound: set[TableId] = field(default_factory=set)
     sent: deque[int] = field(default_factory=deque)
     unapplied: dict[int, float] = field(default_factory=dict)
 
@@ -543,17 +543,15 @@
         """A proxy that joins is bound to its tables at once; a binding restates what is withdrawn."""
         cost: dict[ProxyId, float] = {}
         for number, proxy in self.proxies.items():
-            if proxy.bound or not self.servers:
-                continue
             by_table: dict[TableId, list[int]] = {}
             for i in range(len(self.s.classes)):
                 by_table.setdefault(self.keys[self._key(i, proxy.zone)], []).append(i)
             for table, classes in by_table.items():
-                if not self.lines[table]:
-                    continue
+                if table in proxy.bound or not self.lines[table]:
+                    continue  # rule 1: a table without lines would take away what the proxy holds
+                proxy.bound.add(table)
                 self.out.append(BindProxy(number, table, tuple(classes)))
                 cost[number] = cost.get(number, 0) + 1 + len(self.lines[table]) + len(classes)
-            proxy.bound = True
         return cost
 
     def _checkpoint(self, cost: float, bind_cost: dict[ProxyId, float]) -> None:
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Sequence
+from collections.abc import Iterable, Mapping, Sequence
 from dataclasses import replace
 from typing import Any, TypeVar
 
@@ -109,7 +109,7 @@
 
     def second(self, listed: Iterable[Host], time_us: int = 200_000, failed: dict[int, float] | None = None,
                times: dict[int, int] | None = None, demand: Sequence[int] = (20, 5), tries: int = 20,
-               load: dict[int, tuple[tuple[str, float], ...]] | None = None) -> list[Action]:
+               load: Mapping[int, tuple[tuple[str, float], ...]] | None = None) -> list[Action]:
         """One second goes by, then a report on it comes in."""
         out = self.until(self.now + SECOND)
         events: list[Event] = []
--- /dev/null
+++ b/tests/test_discovery.py
@@ -0,0 +1,78 @@
+"""Both ways of discovery, and starting over."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+from itertools import pairwise
+
+from kelpcourse.decide import Director
+from kelpcourse.interface import (
+    BindProxy, HostList, ListKind, ProxyJoined, SetTimer, Started, WatchList, Withdraw,
+)
+from tests.fleet import SECOND, SETTINGS, Day, full, hosts, only
+
+ASK = replace(SETTINGS, must_ask=True, ask_within_us=8 * SECOND)
+FAILED = HostList(ListKind.UNAVAILABLE, 0, ())
+
+
+def test_a_pushed_list_is_never_asked_for() -> None:
+    day = Day(listed=hosts(4))
+    day.until(day.now + 30 * SECOND)
+    assert [a for _, a in day.log if isinstance(a, WatchList)] == []
+
+
+def test_a_list_on_request_is_watched_from_the_start_and_once() -> None:
+    day = Day(ASK, listed=hosts(4))
+    day.send(full(hosts(4)))
+    day.until(day.now + 30 * SECOND)
+    assert [a for _, a in day.log if isinstance(a, WatchList)] == [WatchList(True)]
+
+
+def test_a_failed_call_is_repeated_with_backoff_within_what_is_allowed() -> None:
+    day = Day(ASK, listed=hosts(4))
+    asked = [day.now]
+    for _ in range(6):
+        day.send(FAILED)
+        while not any(isinstance(a, WatchList) and t > asked[-1] for t, a in day.log):
+            day.until(day.now + SECOND)
+            assert day.now - asked[-1] < ASK.ask_within_us
+        asked.append(day.now)
+    gaps = [b - a for a, b in pairwise(asked)]
+    assert gaps[0] <= SECOND
+    assert gaps[-1] >= gaps[0]
+    assert max(gaps) <= ASK.ask_within_us // 2
+
+
+def test_a_dropped_subscription_is_taken_up_again() -> None:
+    day = Day(ASK, listed=hosts(4))
+    day.send(full(hosts(4)))
+    day.until(day.now + 10 * SECOND)
+    day.send(FAILED)
+    day.until(day.now + 2 * SECOND)
+    assert len([a for _, a in day.log if isinstance(a, WatchList)]) == 2
+
+
+def test_after_a_crash_the_stale_list_serves_until_the_fresh_one_corrects_it() -> None:
+    director = Director(ASK)
+    now = 90 * SECOND
+    first = director.step(now, [Started(3), HostList(ListKind.RESTORED, 4, tuple(hosts(5)))])
+    assert only(first, WatchList) == [WatchList(True)]
+    joined = director.step(now + SECOND, [ProxyJoined(0, "east", 10.0, False)])
+    assert only(joined, BindProxy) != []
+    fresh = director.step(now + 2 * SECOND, [full(hosts(4), 9)])
+    assert only(fresh, Withdraw) == [Withdraw(104, True)]
+
+
+def test_what_is_out_is_restated_to_a_proxy_that_joins_later_by_its_binding() -> None:
+    day = Day(listed=hosts(5), proxies=1)
+    day.send(full(hosts(4)))
+    day.send(ProxyJoined(3, "east", 10.0, False))
+    assert 104 not in day.tables[0]
+
+
+def test_a_timer_is_always_running() -> None:
+    day = Day(listed=hosts(2))
+    for _ in range(5):
+        day.until(day.now + SECOND)
+        assert any(t.at_us > day.now - SECOND for t in day.timers)
+    assert all(isinstance(t, SetTimer) for t in day.timers)
--- /dev/null
+++ b/tests/test_hosts.py
@@ -0,0 +1,139 @@
+"""Weights: sick hosts, their return, and speeds learned from what hosts show."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+from kelpcourse.interface import HostReport, SetLine
+from tests.fleet import SECOND, SETTINGS, Day, changes, host, hosts, only
+
+
+def run(day: Day, seconds: int, failed: dict[int, float] | None = None, tries: int = 20) -> None:
+    for _ in range(seconds):
+        day.second(hosts(10), failed=failed, tries=tries, demand=(40, 10))
+
+
+def test_a_failing_host_is_halved_or_more() -> None:
+    day = Day(listed=hosts(10))
+    run(day, 4)
+    run(day, 4, failed={100: 0.5})
+    assert day.share(100) <= 0.055
+
+
+def test_errors_spread_over_all_hosts_blame_none() -> None:
+    day = Day(listed=hosts(10))
+    run(day, 4)
+    run(day, 8, failed={h.id: 0.3 for h in hosts(10)})
+    assert all(abs(day.share(h.id) - 0.1) < 0.01 for h in hosts(10))
+
+
+def test_chance_failures_on_a_busy_fleet_blame_none() -> None:
+    """Halving hosts for chance time-outs drowns the rest in turn."""
+    day = Day(listed=hosts(10))
+    run(day, 4)
+    for k in range(10):
+        run(day, 1, failed={h.id: 0.15 if h.id % 3 == k % 3 else 0.05 for h in hosts(10)})
+    assert all(abs(day.share(h.id) - 0.1) < 0.02 for h in hosts(10))
+
+
+def test_a_dead_host_is_told_from_loaded_ones() -> None:
+    day = Day(listed=hosts(10))
+    run(day, 4)
+    run(day, 4, failed={h.id: 0.3 for h in hosts(10)} | {100: 1.0})
+    assert day.share(100) < 0.02
+
+
+def test_a_host_is_cut_once_for_what_was_in_flight() -> None:
+    day = Day(listed=hosts(10))
+    run(day, 4)
+    run(day, 1, failed={100: 0.4})
+    day.until(day.now + 2 * SECOND)
+    assert day.share(100) > 0.02
+
+
+def test_a_host_with_good_answers_comes_back_in_steps() -> None:
+    day = Day(listed=hosts(10))
+    run(day, 4)
+    run(day, 6, failed={100: 1.0})
+    low = day.share(100)
+    seen = []
+    for _ in range(14):
+        run(day, 1)
+        seen.append(day.share(100))
+    assert low < min(x for x in seen if x > low) < 0.08
+    assert seen[-1] > 0.09
+
+
+def test_a_host_that_gets_too_few_tries_comes_back_all_the_same() -> None:
+    day = Day(listed=hosts(10))
+    run(day, 4)
+    run(day, 6, failed={100: 1.0})
+    others = hosts(10)[1:]
+    for _ in range(30):
+        day.second(others, demand=(1, 0), tries=1)
+    assert day.share(100) > 0.05
+
+
+def test_a_silent_host_is_cut_before_its_time_outs_show() -> None:
+    day = Day(listed=hosts(10))
+    run(day, 8)
+    for _ in range(3):
+        day.second(hosts(10)[1:], demand=(40, 10))
+    assert day.share(100) < 0.02
+
+
+def test_a_host_that_just_joined_is_not_held_silent() -> None:
+    day = Day(listed=hosts(9))
+    run(day, 8)
+    day.send(changes([host(300)]))
+    for _ in range(3):
+        day.second(hosts(9), demand=(40, 10))
+    assert day.share(300) > 0.08
+
+
+def test_most_of_the_fleet_is_never_judged_sick() -> None:
+    day = Day(listed=hosts(10))
+    run(day, 4)
+    bad = {100 + k: 1.0 for k in range(7)}
+    run(day, 10, failed=bad)
+    full_weight = [h.id for h in hosts(10) if day.tables[0][h.id] > 0.5]
+    assert len(full_weight) >= 6
+
+
+def test_shares_follow_times() -> None:
+    day = Day(listed=hosts(10))
+    times = {h.id: 400_000 if h.id < 105 else 200_000 for h in hosts(10)}
+    for _ in range(20):
+        day.second(hosts(10), times=times, demand=(40, 10))
+    assert day.share(109) > 1.3 * day.share(100)
+    assert day.share(100) > 0.02
+
+
+def test_shares_follow_served_rate_over_busy_share_where_reported() -> None:
+    day = Day(replace(SETTINGS, load_inline=True, load_names=("util", "qps")), listed=hosts(10))
+    load = {h.id: (("util", 0.8 if h.id < 105 else 0.4), ("qps", 20.0)) for h in hosts(10)}
+    for _ in range(40):
+        day.second(hosts(10), load=load, demand=(40, 10))
+    assert 1.7 < day.share(109) / day.share(100) < 2.2
+
+
+def test_listed_weights_count_and_an_unlisted_one_is_the_average() -> None:
+    listed = [host(1, weight=1.0), host(2, weight=3.0), host(3, weight=0.0)]
+    day = Day(listed=listed)
+    assert abs(day.share(2) / day.share(1) - 3) < 0.01
+    assert abs(day.share(3) / day.share(1) - 2) < 0.01
+
+
+def test_small_changes_of_a_weight_are_not_sent() -> None:
+    day = Day(listed=hosts(10))
+    run(day, 4)
+    before = len([a for _, a in day.log if isinstance(a, SetLine)])
+    run(day, 20)
+    assert len([a for _, a in day.log if isinstance(a, SetLine)]) == before
+
+
+def test_reports_about_hosts_that_are_gone_are_served() -> None:
+    day = Day(listed=hosts(3))
+    actions = day.send(HostReport(999, "east", 5, 5, SECOND, 0, ()), HostReport(100, "east", 0, 0, 0, 0, ()))
+    actions += day.until(day.now + 3 * SECOND)
+    assert 999 not in {a.host for a in only(actions, SetLine)}
--- /dev/null
+++ b/tests/test_load.py
@@ -0,0 +1,139 @@
+"""Overload: when levels fall, whom they spare, and how they come back."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+import pytest
+
+from kelpcourse.interface import Admission, Log, SetLevel
+from tests.fleet import READ, SECOND, SETTINGS, WRITE, Day, changes, hosts, only
+
+
+def steady(day: Day, seconds: int = 6, demand: tuple[int, ...] = (40, 10)) -> None:
+    for _ in range(seconds):
+        day.second(hosts(10), demand=demand)
+
+
+def test_nothing_is_shed_while_all_is_well() -> None:
+    day = Day(listed=hosts(10))
+    steady(day, 20)
+    assert day.levels == {0: 1.0, 1: 1.0}
+
+
+def test_a_few_failures_shed_nothing() -> None:
+    day = Day(listed=hosts(10))
+    for _ in range(10):
+        day.second(hosts(10), failed={h.id: 0.04 for h in hosts(10)}, tries=25, demand=(50, 12))
+    assert day.levels == {0: 1.0, 1: 1.0}
+
+
+def test_a_backlog_is_answered_before_anything_fails() -> None:
+    day = Day(listed=hosts(10))
+    steady(day)
+    for _ in range(2):  # twice the demand, and no more answers than before
+        day.second(hosts(10), time_us=400_000, demand=(80, 20))
+    assert day.levels[0] < 0.8
+
+
+def test_the_worthier_class_is_let_in_first() -> None:
+    day = Day(listed=hosts(10))
+    steady(day)
+    for _ in range(3):
+        day.second(hosts(10), time_us=500_000, demand=(60, 8))
+    assert day.levels[0] < 0.8
+    assert day.levels[1] == 1.0
+
+
+def test_classes_of_equal_worth_get_the_same_fraction() -> None:
+    day = Day(replace(SETTINGS, classes=(READ, replace(WRITE, worth=READ.worth))), listed=hosts(10))
+    steady(day)
+    for _ in range(2):
+        day.second(hosts(10), time_us=400_000, demand=(80, 20))
+    assert day.levels[0] < 0.8
+    assert day.levels[1] == pytest.approx(day.levels[0], abs=1e-3)
+
+
+def test_levels_come_back_when_the_load_has_gone() -> None:
+    day = Day(listed=hosts(10))
+    steady(day)
+    for _ in range(3):
+        day.second(hosts(10), time_us=900_000, demand=(80, 20))
+    assert day.levels[0] < 0.8
+    steady(day, 20)
+    assert day.levels == {0: 1.0, 1: 1.0}
+
+
+def test_failures_that_less_load_does_not_mend_start_no_spiral() -> None:
+    """A lossy path fails a tenth of tries at any load, with sound times: V must not ratchet down."""
+    day = Day(listed=hosts(10))
+    steady(day)
+    for _ in range(40):
+        let_in = (40 * day.levels[0] + 10 * day.levels[1]) * 4 / 10
+        day.second(hosts(10), failed={h.id: 0.12 for h in hosts(10)}, tries=max(1, round(let_in)),
+                   demand=(40, 10))
+    assert day.levels[0] > 0.9
+
+
+def test_v_does_not_fall_far_under_its_best() -> None:
+    """Even where times stay bad whatever is shed, a part of the traffic is let in."""
+    day = Day(listed=hosts(10))
+    steady(day)
+    admitted = 50.0
+    for _ in range(40):
+        admitted = 40 * day.levels[0] + 10 * day.levels[1]
+        day.second(hosts(10), time_us=900_000, tries=max(1, round(admitted * 4 / 10)), demand=(40, 10))
+    assert admitted > 0.1 * 50
+
+
+def test_one_overload_is_answered_once() -> None:
+    """What was let in before an order reached the proxies is foreseen, not met again with a deeper cut."""
+    day = Day(listed=hosts(10))
+    steady(day)
+    day.second(hosts(10), time_us=600_000, demand=(80, 20))
+    day.second(hosts(10), time_us=600_000, demand=(80, 20))
+    first = day.levels[0]
+    assert first < 0.8
+    day.second(hosts(10), time_us=600_000, demand=(80, 20))
+    assert day.levels[0] >= first * 0.5
+
+
+def test_a_fall_of_a_level_does_not_wait_for_the_pace_of_lines() -> None:
+    """Urgent orders restart the pace of lines: a level must go out in the step that judged it."""
+    day = Day(listed=hosts(10))
+    steady(day)
+    for k in range(3):
+        day.send(changes([replace(hosts(10)[k], started_us=day.now)]))
+        actions = day.second(hosts(10), time_us=600_000, demand=(80, 20))
+        if any("overload" in log.text for log in only(actions, Log)):
+            break
+    assert min(a.level for a in only(actions, SetLevel)) < 0.8
+
+
+def test_volume_follows_a_fleet_that_grows() -> None:
+    day = Day(listed=hosts(10))
+    steady(day)
+    for _ in range(3):
+        day.second(hosts(10), time_us=700_000, demand=(80, 20))
+    low = day.levels[0]
+    more = hosts(20)
+    day.send(changes(more))
+    day.second(more, time_us=300_000, demand=(80, 20))
+    day.second(more, time_us=300_000, demand=(80, 20))
+    assert day.levels[0] > low + 0.2
+
+
+def test_no_levels_where_proxies_disregard_them() -> None:
+    day = Day(replace(SETTINGS, admission=Admission.NONE), listed=hosts(10))
+    steady(day)
+    for _ in range(5):
+        day.second(hosts(10), time_us=900_000, demand=(80, 20))
+    assert {a.level for _, a in day.log if isinstance(a, SetLevel)} <= {1.0}
+
+
+def test_zero_demand_and_empty_reports_are_served() -> None:
+    day = Day(listed=hosts(10))
+    for _ in range(5):
+        day.second(hosts(10), tries=0, demand=(0, 0))
+    day.until(day.now + 5 * SECOND)
+    assert day.levels == {0: 1.0, 1: 1.0}
--- /dev/null
+++ b/tests/test_rules.py
@@ -0,0 +1,207 @@
+"""The five rules, each with the module alone."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+import pytest
+
+from kelpcourse.interface import (
+    BindProxy, Checkpoint, Effect, HostList, HostState, ListKind, ProxyJoined, ProxyLeft, Retry, SetLevel,
+    SetLine, Withdraw,
+)
+from tests.fleet import READ, SECOND, SETTINGS, WRITE, Day, changes, full, host, hosts, only
+
+
+# Rule 1: no proxy without a line
+
+
+def test_a_joined_proxy_is_bound_to_a_table_with_lines_in_the_same_step() -> None:
+    day = Day(listed=hosts(6), proxies=0)
+    actions = day.send(ProxyJoined(9, "west", 5.0, False))
+    assert [(b.proxy, b.classes) for b in only(actions, BindProxy)] == [(9, (0, 1))]
+    assert len(day.tables[0]) == 6
+
+
+def test_a_proxy_that_rejoins_is_bound_again() -> None:
+    day = Day(listed=hosts(6), proxies=1)
+    day.send(ProxyLeft(0))
+    assert only(day.send(ProxyJoined(0, "east", 5.0, False)), BindProxy) != []
+
+
+def test_proxies_that_join_before_any_host_is_known_are_bound_once_one_is() -> None:
+    day = Day(listed=(), proxies=2)
+    assert [b for _, b in day.log if isinstance(b, BindProxy)] == []
+    actions = day.send(full(hosts(2)))
+    actions += day.until(day.now + 3 * SECOND)
+    assert {b.proxy for b in only(actions, BindProxy)} == {0, 1}
+
+
+def test_judged_hosts_keep_a_line_even_if_all_fail() -> None:
+    listed = hosts(6)
+    day = Day(listed=listed)
+    for _ in range(20):
+        day.second(listed, failed={h.id: 1.0 for h in listed})
+    assert set(day.tables[0]) == {h.id for h in listed}
+    assert all(weight > 0 for weight in day.tables[0].values())
+
+
+def test_a_class_for_some_zones_has_its_own_table_of_their_hosts() -> None:
+    bound = replace(WRITE, only_zones=frozenset({"east"}))
+    day = Day(replace(SETTINGS, classes=(READ, bound)), listed=hosts(6))
+    east = {h.id for h in hosts(6) if h.zone == "east"}
+    assert set(day.tables[1]) == east
+    assert set(day.tables[0]) == {h.id for h in hosts(6)}
+
+
+def test_zone_bound_classes_have_a_table_for_each_zone() -> None:
+    own = replace(READ, zone_bound=True)
+    day = Day(replace(SETTINGS, classes=(own,)), listed=hosts(6), proxies=2)
+    binds = [a for _, a in day.log if isinstance(a, BindProxy)]
+    for bind in binds:
+        zone = SETTINGS.zones[bind.proxy % 2]
+        assert set(day.tables[bind.table]) == {h.id for h in hosts(6) if h.zone == zone}
+
+
+def test_a_class_whose_hosts_appear_later_is_bound_then() -> None:
+    bound = replace(WRITE, only_zones=frozenset({"west"}))
+    day = Day(replace(SETTINGS, classes=(READ, bound)), listed=[host(1), host(2)], proxies=1)
+    actions = day.send(changes([host(3, "west")]))
+    actions += day.until(day.now + 3 * SECOND)
+    assert [b.classes for b in only(actions, BindProxy)] == [(1,)]
+
+
+# Rule 2: no effect twice
+
+
+@pytest.mark.parametrize("effect", list(Effect))
+def test_a_try_that_may_have_run_is_never_ordered_again(effect: Effect) -> None:
+    listed = hosts(6)
+    day = Day(replace(SETTINGS, classes=(replace(WRITE, effect=effect),)), listed=listed)
+    for share in (0.0, 0.3, 0.9):
+        for _ in range(4):
+            day.second(listed, failed={100: share}, demand=(20,))
+    ways = {a.retry for _, a in day.log if isinstance(a, SetLevel)}
+    assert ways == {Retry.PROVEN_UNRUN}
+
+
+# Rule 3: drains are kept
+
+
+@pytest.mark.parametrize("state", [HostState.DRAINING, HostState.GONE])
+def test_a_draining_or_gone_host_is_withdrawn_in_the_same_step(state: HostState) -> None:
+    day = Day(listed=hosts(6))
+    day.until(day.now + 10 * SECOND)
+    actions = day.send(changes([host(100, state=state)]))
+    assert only(actions, Withdraw) == [Withdraw(100, True)]
+    assert SetLine(0, 100, 0.0) in actions
+    assert 100 not in day.tables[0]
+
+
+def test_a_host_missing_from_a_full_list_is_withdrawn() -> None:
+    day = Day(listed=hosts(6))
+    actions = day.send(full(hosts(5)))
+    assert only(actions, Withdraw) == [Withdraw(105, True)]
+
+
+def test_an_unavailable_list_changes_nothing() -> None:
+    day = Day(listed=hosts(6))
+    actions = day.send(HostList(ListKind.UNAVAILABLE, 0, ()))
+    assert only(actions, Withdraw) == []
+    assert len(day.tables[0]) == 6
+
+
+def test_a_withdrawn_host_that_is_listed_ready_again_comes_back() -> None:
+    day = Day(listed=hosts(6))
+    day.send(changes([host(100, state=HostState.DRAINING)]))
+    actions = day.send(changes([host(100, started=day.now)]))
+    actions += day.until(day.now + 3 * SECOND)
+    assert only(actions, Withdraw) == [Withdraw(100, False)]
+    assert 100 in day.tables[0]
+
+
+def test_all_hosts_draining_is_served_and_leaves_an_empty_table() -> None:
+    day = Day(listed=hosts(3))
+    day.send(changes([host(h.id, h.zone, HostState.DRAINING) for h in hosts(3)]))
+    day.until(day.now + 5 * SECOND)
+    assert day.tables[0] == {}
+
+
+# Rule 4: no cold host pushed over
+
+
+def test_a_new_host_gets_no_more_than_its_least_capacity() -> None:
+    listed = hosts(9)
+    day = Day(listed=listed)
+    day.until(day.now + 5 * SECOND)
+    fresh = host(200, started=day.now)
+    day.send(changes([fresh]))
+    for _ in range(14):
+        day.until(day.now + SECOND)
+        age = (day.now - fresh.started_us) / SETTINGS.cold_us
+        least = min(1.0, SETTINGS.cold_from + (1 - SETTINGS.cold_from) * age)
+        if 200 in day.tables[0]:
+            assert day.share(200) <= 0.1 * least * 1.1
+    assert day.share(200) == pytest.approx(0.1, rel=0.1)
+
+
+def test_a_restarted_host_loses_its_weight_in_the_same_step() -> None:
+    day = Day(listed=hosts(6))
+    day.until(day.now + 10 * SECOND)
+    before = day.share(100)
+    day.send(changes([host(100, started=day.now)]))
+    assert day.share(100) < before * 0.3
+
+
+def test_a_cold_host_stays_small_where_most_hosts_are_sick_or_cold() -> None:
+    listed = hosts(4)
+    day = Day(listed=listed)
+    day.until(day.now + 5 * SECOND)
+    cold = [host(200 + k, started=day.now) for k in range(12)]
+    day.send(changes(cold))
+    day.until(day.now + 3 * SECOND)
+    for h in cold:
+        least = SETTINGS.cold_from + (1 - SETTINGS.cold_from) * 3 / 12
+        assert day.share(h.id) <= least / 16 * 1.05
+
+
+def test_levels_follow_a_fleet_that_turned_cold() -> None:
+    listed = hosts(8)
+    day = Day(listed=listed)
+    for _ in range(6):
+        day.second(listed, demand=(40, 10))
+    cold = [host(h.id, h.zone, started=day.now) for h in listed[:6]]
+    day.send(changes(cold))
+    now_listed = cold + listed[6:]
+    for _ in range(3):
+        day.second(now_listed, time_us=900_000, tries=10, demand=(40, 10))
+    assert day.levels[0] < 0.7
+
+
+# Rule 5: a short queue and few messages
+
+
+def test_messages_to_a_proxy_stay_under_the_cap() -> None:
+    listed = hosts(10)
+    day = Day(replace(SETTINGS, messages_most=12), listed=listed)
+    for k in range(60):
+        state = HostState.DRAINING if k % 2 else HostState.READY
+        day.until(day.now + SECOND // 3)
+        day.send(changes([host(100 + k % 10, state=state, started=day.now)]))
+    sent = [t for t, a in day.log if isinstance(a, Checkpoint)][1:]  # the first went to nobody
+    assert len(sent) > 12
+    assert all(len([t for t in sent if now - 10 * SECOND < t <= now]) <= 12 for now in sent)
+
+
+def test_ordinary_orders_wait_while_the_channel_is_slow() -> None:
+    listed = hosts(10)
+    day = Day(replace(SETTINGS, channel_backlog=300.0), listed=listed, answers=False)
+    uneven = {h.id: 100_000 * (1 + k) for k, h in enumerate(listed)}
+    lines = [len(only(day.second(listed, times=uneven), SetLine)) for _ in range(12)]
+    assert sum(lines[4:]) == 0
+
+
+def test_a_drain_is_ordered_even_where_ordinary_orders_wait() -> None:
+    day = Day(replace(SETTINGS, channel_backlog=300.0), listed=hosts(10), answers=False)
+    day.until(day.now + 10 * SECOND)
+    assert only(day.send(changes([host(100, state=HostState.GONE)])), Withdraw) == [Withdraw(100, True)]
