--- a/kelpcourse/decide.py
+++ b/kelpcourse/decide.py
@@ -44,6 +44,7 @@
 HEALTH_LEAST = 0.04  # a sick host keeps this part: few requests are lost, enough to see it mend
 HEALTH_STEP = 2.0  # restoring, where nothing was heard: doubled at each step
 HEALTH_PROVEN = 4.0  # restoring, where good answers came: a mended zone must not leave the rest to drown
+ONE_CAUSE_US = 30_000_000  # hosts of a zone cut within this time may share a cause
 CALM_LEAST = 3  # good answers in a row that prove
 SPEED_US = 10_000_000  # time in which speeds follow what is seen: reports are late and noisy, faster swings
 SPEED_RANGE = (0.4, 2.5)  # learned part of a weight
@@ -66,11 +67,12 @@
     health: float = 1.0
     cut_us: int = 0
     eased_us: int = 0
+    failed_us: int = 0
     tries: float = 0.0
     failed: float = 0.0
     good: float = 0.0
     silent: float = 0.0  # tries that should have ended there since any did
-    calm: int = 0  # good answers since the last failure, or since the last step up
+    calm: int = 0  # good answers since the last failure
     time_us: float = 0.0
     load: dict[str, float] = field(default_factory=dict)
 
@@ -245,7 +247,9 @@
             server.tries += event.tries
             server.failed += event.failed
             server.good += good
-            server.calm = server.calm + good if event.failed <= SICK_SHARE * event.tries else 0
+            server.calm += good
+            if event.failed > SICK_SHARE * event.tries:
+                server.calm, server.failed_us = 0, self.now
             server.time_us += good * event.good_time_us
             server.load.update(event.load)
 
@@ -286,10 +290,22 @@
             elif total > 0:
                 server.silent += tries * lines.get(number, 0.0) / total
 
+    def _mended_zones(self) -> set[str]:
+        """A zone that fell sick as a whole had one cause: good answers of some of its hosts speak for all."""
+        hit: dict[str, list[Server]] = {}
+        size: dict[str, int] = {}
+        for server in self.servers.values():
+            size[server.host.zone] = size.get(server.host.zone, 0) + 1
+            if server.cut_us > self.now - ONE_CAUSE_US:
+                hit.setdefault(server.host.zone, []).append(server)
+        return {zone for zone, struck in hit.items()
+                if 2 * len(struck) >= size[zone] and sum(v.calm for v in struck) >= CALM_LEAST}
+
     def _judge_hosts(self) -> set[HostId]:
         """Errors held to few hosts are theirs; spread over the fleet they are overload and blame no host."""
         total = sum(v.tries for v in self.servers.values())
         failed = sum(v.failed for v in self.servers.values())
+        mended = self._mended_zones()
         suspects = []
         for server in self.servers.values():
             good = server.tries - server.failed
@@ -301,11 +317,11 @@
                 if self.now - server.cut_us >= self._settle_us():  # what was in flight then says nothing new
                     suspects.append((1.0 if silent else share, server))
             elif server.health < 1:
-                proven = server.calm >= CALM_LEAST
+                proven = server.calm >= CALM_LEAST or (
+                    server.host.zone in mended and self.now - server.failed_us >= self._settle_us())
                 if proven or self.now - max(server.cut_us, server.eased_us) >= RESTORE_US:
                     step = HEALTH_PROVEN if proven else HEALTH_STEP
                     server.health, server.eased_us = min(1.0, server.health * step), self.now
-                    server.calm = 0
         suspects.sort(key=lambda pair: (-pair[0], pair[1].host.id))
         spared = sum(1 for v in self.servers.values() if v.health < 1)
         for share, server in suspects:
