--- a/kelpcourse/decide.py
+++ b/kelpcourse/decide.py
@@ -86,6 +86,7 @@
     """A joined proxy: where it is and what it was sent."""
 
     zone: str
+    usual_rate: float
     bound: set[TableId] = field(default_factory=set)
     sent: deque[int] = field(default_factory=deque)
     unapplied: dict[int, float] = field(default_factory=dict)
@@ -175,8 +176,8 @@
                 self._timer()
             case HostList():
                 self._take_list(event)
-            case ProxyJoined(proxy, zone):
-                self.proxies[proxy] = Proxy(zone)
+            case ProxyJoined(proxy, zone, rate):
+                self.proxies[proxy] = Proxy(zone, rate)
             case ProxyLeft(proxy):
                 self.proxies.pop(proxy, None)
             case OrdersApplied(proxy, number):
@@ -406,6 +407,7 @@
     def _follow_fleet(self) -> None:
         """V was heard from another fleet if hosts came, went or warmed up since: scale it with them."""
         fleet = sum(v.host.weight * v.speed * v.health * self._warmth(v) for v in self.servers.values())
+        fleet *= sum(p.usual_rate for p in self.proxies.values())
         if fleet > 0 and self.fleet > 0:
             self.volume *= fleet / self.fleet
             self.best *= fleet / self.fleet
