--- a/kelpcourse/decide.py
+++ b/kelpcourse/decide.py
@@ -19,7 +19,7 @@
 TICK_US = 1_000_000  # the design's window: demand is read and the fill solved once a second
 PACE_US = 2_000_000  # ordinary lines go out at most this often; an order costs far less than a stale share
 OVERLOAD_SHARE = 0.05  # share of failed tries over the fleet: below it nothing is shed (the design's figure)
-NEAR_AIM = 0.8  # expected time over mean aim beyond which answers come too late: overload before failures
+NEAR_AIM = 0.55  # expected time over mean aim beyond which answers come too late: overload before failures
 BUSY_AIM = 0.5  # mean time over mean aim from which hosts are full, so that the good rate is what they can do
 QUICK_AIM = 0.35  # failures with mean times under this part of the aim are not of load: less load won't help
 BEST_KEPT = 0.98  # kept of the best good rate each second
@@ -28,7 +28,7 @@
 FOLLOW_US = 3_000_000  # time in which V follows the good rate of full hosts; a collapse is faster
 DRAIN_US = 3_000_000  # a backlog is to be worked off in this time
 REST_AIM = 0.4  # a backlog worth this part of the aim may stay: hosts should not run dry
-BACKLOG_US = 4_000_000  # time in which an estimated backlog is forgotten: its errors add up
+BACKLOG_US = 6_000_000  # time in which an estimated backlog is forgotten: its errors add up
 CUT_LEAST = 0.3  # part of V that is always let in: a wrong backlog must not shut the door
 REPORT_LATE_US = 700_000  # assumed lateness of a report beyond its period, which no setting tells
 LEVEL_LEAST = 0.05  # no class is ever shut out: some answers are needed to see that the load has gone
@@ -271,11 +271,18 @@
         self.heard.clear()
         sick = self._judge_hosts()
         self._correct_speeds()
-        for i in range(len(self.demand)):
-            self.demand[i] = sum(c[0] / c[1] for (_, k), c in self.arrived.items() if k == i and c[1] > 0)
+        counts = [0.0] * len(self.demand)
+        self.demand = [0.0] * len(self.demand)
+        for (_, k), (count, seconds) in self.arrived.items():
+            counts[k] += count
+            self.demand[k] += count / seconds if seconds > 0 else 0.0
         self.arrived.clear()
+        lag_us = REPORT_LATE_US + self.s.transit_mean_us + int(span * 5e5)
+        # Counts, not rates: a proxy that joined lately reports a whole rate for a part of the period.
+        levels = self._levels_at(self.now - lag_us)
+        self.backlog += sum(n * lv for n, lv in zip(counts, levels, strict=True)) - tries
         mean_us = time_us / (tries - failed) if tries > failed else 0.0
-        self._judge_load(rates[0], rates[0] - rates[1], self._spread_failures(sick), mean_us, span)
+        self._judge_load(rates[0], rates[0] - rates[1], self._spread_failures(sick), mean_us, span, lag_us)
 
     def _settle_us(self) -> int:
         """From an order until a report tells of what came after it."""
@@ -366,22 +373,23 @@
             return float("inf")
         return sum(n * c.aim_us for n, c in zip(self.demand, self.s.classes, strict=True)) / total
 
+    def _levels_at(self, when: int) -> list[float]:
+        return next((lv for at, lv in reversed(self.level_log) if at <= when), self.level_log[0][1])
+
     def _let_in(self, when: int) -> float:
         """Rate let in by the levels ordered at a time."""
-        levels = next((lv for at, lv in reversed(self.level_log) if at <= when), self.level_log[0][1])
-        return sum(n * lv for n, lv in zip(self.demand, levels, strict=True))
+        return sum(n * lv for n, lv in zip(self.demand, self._levels_at(when), strict=True))
 
-    def _judge_load(self, ended: float, good: float, failures: float, mean_us: float, span: float) -> None:
+    def _judge_load(
+        self, ended: float, good: float, failures: float, mean_us: float, span: float, lag_us: int
+    ) -> None:
         """Overload shows as failures everywhere, as time near the aim, or first as more let in than ended."""
         if self.s.admission is Admission.NONE:
             return
         aim = self._mean_aim()
         self._follow_fleet()
-        lag_us = REPORT_LATE_US + self.s.transit_mean_us + int(span * 5e5)
-        grown = (self._let_in(self.now - lag_us) - ended) * span
         usual = good * mean_us / 1e6  # held at once if nothing piles up: an estimate falls back to it
-        self.backlog += (usual - self.backlog) * min(1.0, span * 1e6 / BACKLOG_US) + grown
-        self.backlog = max(0.0, self.backlog)
+        self.backlog = max(0.0, self.backlog + (usual - self.backlog) * min(1.0, span * 1e6 / BACKLOG_US))
         failing = failures > OVERLOAD_SHARE and mean_us > QUICK_AIM * aim  # a lossy path fails, not slowly
         busy = mean_us > BUSY_AIM * aim or failing
         self.best = max(self.best * BEST_KEPT ** span, good)
@@ -405,7 +413,7 @@
         self._solve(lag_us, aim)
 
     def _follow_fleet(self) -> None:
-        """V was heard from another fleet if hosts came, went or warmed up since: scale it with them."""
+        """V was heard from other hosts and proxies if some came, went or warmed up since: scale it."""
         fleet = sum(v.host.weight * v.speed * v.health * self._warmth(v) for v in self.servers.values())
         fleet *= sum(p.usual_rate for p in self.proxies.values())
         if fleet > 0 and self.fleet > 0:
--- a/tests/test_load.py
+++ b/tests/test_load.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from kelpcourse.interface import Admission, Log, SetLevel
+from kelpcourse.interface import Admission, DemandReport, HostReport, Log, ProxyJoined, SetLevel
 from tests.fleet import READ, SECOND, SETTINGS, WRITE, Day, changes, hosts, only
 
 
@@ -137,3 +137,16 @@
         day.second(hosts(10), tries=0, demand=(0, 0))
     day.until(day.now + 5 * SECOND)
     assert day.levels == {0: 1.0, 1: 1.0}
+
+
+def test_a_proxy_that_joined_lately_is_no_backlog() -> None:
+    """It reports a whole rate for a part of the period: counted as a rate it looked like an overload."""
+    day = Day(listed=hosts(10))
+    steady(day)
+    for proxy in range(10, 14):
+        day.send(ProxyJoined(proxy, "east", 10.0, False))
+        day.until(day.now + SECOND)
+        day.send(*(HostReport(h.id, "east", 20, 0, SECOND, 200_000, ()) for h in hosts(10)),
+                 *(DemandReport(p, k, n, 0, SECOND) for p in day.joined for k, n in enumerate((40, 10))),
+                 DemandReport(proxy, 0, 8, 0, SECOND // 10))
+    assert day.levels == {0: 1.0, 1: 1.0}
