--- a/kelpcourse/decide.py
+++ b/kelpcourse/decide.py
@@ -24,6 +24,7 @@
 QUICK_AIM = 0.35  # failures with mean times under this part of the aim are not of load: less load won't help
 BEST_KEPT = 0.98  # kept of the best good rate each second
 VOLUME_LEAST = 0.4  # of that best: V is measured under its own levels and must not ratchet down
+TESTED = 0.75  # part of V that good answers must have reached for V to grow: else nothing speaks for it
 GROW = 1.12  # way up a second: V is measured under the levels it set, so it grows while nothing is late
 FOLLOW_US = 3_000_000  # time in which V follows the good rate of full hosts; a collapse is faster
 DRAIN_US = 3_000_000  # a backlog is to be worked off in this time
@@ -398,7 +399,7 @@
         elif busy:
             able = good + (ended - good) / 2  # what timed out took work too
             self.volume += (able - self.volume) * min(1.0, span * 1e6 / FOLLOW_US)
-        elif self.shedding:  # the nearer the times to busy, the slower the way up
+        elif self.shedding and good > TESTED * self.volume:  # the nearer the times to busy, the slower the way up
             self.volume *= GROW ** (span * (1 - mean_us / (BUSY_AIM * aim)))
         self.volume = max(self.volume, VOLUME_LEAST * self.best, 1.0)
         expected = max(mean_us, self.backlog / self.volume * 1e6)
--- a/tests/test_load.py
+++ b/tests/test_load.py
@@ -150,3 +150,16 @@
                  *(DemandReport(p, k, n, 0, SECOND) for p in day.joined for k, n in enumerate((40, 10))),
                  DemandReport(proxy, 0, 8, 0, SECOND // 10))
     assert day.levels == {0: 1.0, 1: 1.0}
+
+
+def test_v_grows_only_where_good_answers_come_near_it() -> None:
+    """After a burst V climbed to twice what hosts could do while nobody used it, and hid the next overload."""
+    day = Day(listed=hosts(10))
+    steady(day)
+    for _ in range(2):
+        day.second(hosts(10), time_us=600_000, demand=(80, 20))
+    for _ in range(10):  # few requests for a while, then the same overload again
+        day.second(hosts(10), tries=6, time_us=300_000, demand=(80, 20))
+    for _ in range(3):
+        day.second(hosts(10), time_us=600_000, demand=(80, 20))
+    assert day.levels[0] < 0.8
