--- a/kelpcourse/decide.py
+++ b/kelpcourse/decide.py
@@ -399,7 +399,7 @@
         elif busy:
             able = good + (ended - good) / 2  # what timed out took work too
             self.volume += (able - self.volume) * min(1.0, span * 1e6 / FOLLOW_US)
-        elif self.shedding and good > TESTED * self.volume:  # the nearer the times to busy, the slower the way up
+        elif self.shedding and good > TESTED * self.volume:  # slower as times near busy
             self.volume *= GROW ** (span * (1 - mean_us / (BUSY_AIM * aim)))
         self.volume = max(self.volume, VOLUME_LEAST * self.best, 1.0)
         expected = max(mean_us, self.backlog / self.volume * 1e6)
--- a/tests/test_load.py
+++ b/tests/test_load.py
@@ -153,7 +153,7 @@
 
 
 def test_v_grows_only_where_good_answers_come_near_it() -> None:
-    """After a burst V climbed to twice what hosts could do while nobody used it, and hid the next overload."""
+    """After a burst V climbed to twice what hosts could do, unused, and hid the next overload."""
     day = Day(listed=hosts(10))
     steady(day)
     for _ in range(2):
