--- a/kelpcourse/decide.py
+++ b/kelpcourse/decide.py
@@ -25,11 +25,12 @@
 BEST_KEPT = 0.98  # kept of the best good rate each second
 VOLUME_LEAST = 0.4  # of that best: V is measured under its own levels and must not ratchet down
 TESTED = 0.75  # part of V that good answers must have reached for V to grow: else nothing speaks for it
-GROW = 1.12  # way up a second: V is measured under the levels it set, so it grows while nothing is late
+GROW = 1.18  # way up a second: V is measured under the levels it set, so it grows while nothing is late
 FOLLOW_US = 3_000_000  # time in which V follows the good rate of full hosts; a collapse is faster
 DRAIN_US = 3_000_000  # a backlog is to be worked off in this time
 REST_AIM = 0.4  # a backlog worth this part of the aim may stay: hosts should not run dry
 BACKLOG_US = 6_000_000  # time in which an estimated backlog is forgotten: its errors add up
+SETTLED_REPORTS = 2  # reports before a backlog counts: the first has all that came but not yet what ends
 CUT_LEAST = 0.3  # part of V that is always let in: a wrong backlog must not shut the door
 REPORT_LATE_US = 700_000  # assumed lateness of a report beyond its period, which no setting tells
 LEVEL_LEAST = 0.05  # no class is ever shut out: some answers are needed to see that the load has gone
@@ -146,6 +147,7 @@
         self.arrived: dict[tuple[ProxyId, int], list[float]] = {}
         self.heard: dict[tuple[HostId, str], list[float]] = {}
         self.shedding = False
+        self.reports = 0
         self.backlog = 0.0
         self.fleet = 0.0  # what the open hosts can do by their weights, when V was last set against it
         self.level_log: deque[tuple[int, list[float]]] = deque([(0, list(self.levels))])
@@ -402,7 +404,10 @@
         elif self.shedding and good > TESTED * self.volume:  # slower as times near busy
             self.volume *= GROW ** (span * (1 - mean_us / (BUSY_AIM * aim)))
         self.volume = max(self.volume, VOLUME_LEAST * self.best, 1.0)
-        expected = max(mean_us, self.backlog / self.volume * 1e6)
+        self.reports += 1
+        expected = mean_us
+        if self.reports >= SETTLED_REPORTS:
+            expected = max(mean_us, self.backlog / self.volume * 1e6)
         if failing or expected > NEAR_AIM * aim:
             if not self.shedding:
                 self._log(f"overload: failed {failures:.2f}, expected {expected / 1e6:.2f} s,"
--- a/tests/test_load.py
+++ b/tests/test_load.py
@@ -163,3 +163,10 @@
     for _ in range(3):
         day.second(hosts(10), time_us=600_000, demand=(80, 20))
     assert day.levels[0] < 0.8
+
+
+def test_the_first_report_starts_no_overload_by_its_backlog() -> None:
+    """It counts all that came, but not what is still in hand, over a V that was never tried."""
+    day = Day(listed=hosts(10))
+    day.second(hosts(10), tries=12, demand=(40, 10))
+    assert day.levels == {0: 1.0, 1: 1.0}
