Bound a class by what its hosts can do while some are cold

The mechanism's upper bound now holds such a class to twice the part of V its hosts can do, from the list event on.

--- a/kelpcourse/decide.py
+++ b/kelpcourse/decide.py
@@ -53,6 +53,7 @@
 UTIL_LEAST = 0.1  # below it the noise of a load report is larger than what it says
 SPEED_TRIES = 6  # tries before a mean time counts
 COLD_CAUTION = 1.0  # part of a cold host's least capacity that is planned with: retries swell load
+COLD_MOST = 2.0  # times V that hosts may be sent where some are cold, to stay under any fall multiple
 LINE_STEP = 0.08  # smaller relative changes of a weight are not worth a line
 ASK_FIRST_US = 500_000  # first wait before asking discovery again, doubled to a quarter of what is allowed
 QUEUE_ORDINARY = 0.35  # part of the channel's limit that ordinary orders may fill; the rest is for urgent
@@ -147,7 +148,7 @@
         self.arrived: dict[tuple[ProxyId, int], list[float]] = {}
         self.heard: dict[tuple[HostId, str], list[float]] = {}
         self.shedding = False
-        self.reports = 0
+        self.reports = self.lag_us = 0
         self.backlog = 0.0
         self.fleet = 0.0  # what the open hosts can do by their weights, when V was last set against it
         self.level_log: deque[tuple[int, list[float]]] = deque([(0, list(self.levels))])
@@ -217,6 +218,9 @@
                 self._drop(gone)
         for host in event.hosts:
             self._take_host(host)
+        self._follow_fleet()
+        if self.s.admission is not Admission.NONE:
+            self._solve()
 
     def _take_host(self, host: Host) -> None:
         if host.state is not HostState.READY:
@@ -416,29 +420,46 @@
         elif self.shedding and not busy and sum(self.demand) <= self.volume:
             self.shedding = False
             self._log(f"overload over, V {self.volume:.0f}/s")
-        self._solve(lag_us, aim)
+        self.lag_us = lag_us
+        self._solve()
+
+    def _able(self, server: Server) -> float:
+        """What a host can do now, for comparison with others."""
+        return (server.host.weight or 1.0) * server.speed * server.health * self._warmth(server)
 
     def _follow_fleet(self) -> None:
         """V was heard from other hosts and proxies if some came, went or warmed up since: scale it."""
-        fleet = sum(v.host.weight * v.speed * v.health * self._warmth(v) for v in self.servers.values())
+        fleet = sum(self._able(v) for v in self.servers.values())
         fleet *= sum(p.usual_rate for p in self.proxies.values())
         if fleet > 0 and self.fleet > 0:
             self.volume *= fleet / self.fleet
             self.best *= fleet / self.fleet
         self.fleet = fleet
 
-    def _solve(self, lag_us: int, aim: float) -> None:
-        if not self.shedding:
-            self.levels = [1.0] * len(self.levels)
-            return
-        # What was let in since the time the reports tell of is foreseen, so that no overload is met twice.
-        steps = 8
-        unseen = sum(self._let_in(self.now - lag_us * k // steps) - self.volume for k in range(steps))
-        backlog = self.backlog + unseen * lag_us / steps / 1e6 - self.volume * REST_AIM * aim / 1e6
-        volume = max(CUT_LEAST * self.volume, self.volume - max(0.0, backlog) * 1e6 / DRAIN_US)
-        worth = [c.worth for c in self.s.classes]
-        lower = worth_bounds(self.demand, worth, volume)
-        admitted = fill(self.demand, volume, lower, [1.0] * len(worth))
+    def _cold_bounds(self) -> list[float]:
+        """Rule 4: a class left with few hosts, some cold, is let in by what these can do, shedding or not."""
+        able = {v.host.id: self._able(v) for v in self.servers.values()}
+        total, bounds = sum(able.values()), []
+        for cls in self.s.classes:
+            hosts = self._open((cls.only_zones, cls.only_kinds, ""))
+            cold = total > 0 and self.volume > 0 and any(self._warmth(v) < 1 for v in hosts)
+            part = sum(able[v.host.id] for v in hosts) / total if cold else 1.0
+            bounds.append(COLD_MOST * self.volume * part if cold else float("inf"))
+        return bounds
+
+    def _solve(self) -> None:
+        bounds, worth = self._cold_bounds(), [c.worth for c in self.s.classes]
+        if self.shedding:
+            # What was let in since the time the reports tell of is foreseen: no overload is met twice.
+            steps, lag_us = 8, self.lag_us
+            unseen = sum(self._let_in(self.now - lag_us * k // steps) - self.volume for k in range(steps))
+            backlog = self.backlog + unseen * lag_us / steps / 1e6
+            backlog -= self.volume * REST_AIM * self._mean_aim() / 1e6
+            volume = max(CUT_LEAST * self.volume, self.volume - max(0.0, backlog) * 1e6 / DRAIN_US)
+            upper = [min(1.0, most / volume) for most in bounds]
+            admitted = fill(self.demand, volume, worth_bounds(self.demand, worth, volume), upper)
+        else:
+            admitted = [min(n, most) for n, most in zip(self.demand, bounds, strict=True)]
         self.levels = [max(LEVEL_LEAST, x / n) if n > 0 else 1.0
                        for x, n in zip(admitted, self.demand, strict=True)]
 
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -205,3 +205,29 @@
     day = Day(replace(SETTINGS, channel_backlog=300.0), listed=hosts(10), answers=False)
     day.until(day.now + 10 * SECOND)
     assert only(day.send(changes([host(100, state=HostState.GONE)])), Withdraw) == [Withdraw(100, True)]
+
+
+def test_a_class_left_with_a_cold_host_is_let_in_by_what_that_can_do() -> None:
+    """A lost zone left one cold host to a class, which brought it five times its work."""
+    bound = replace(WRITE, only_zones=frozenset({"east"}))
+    listed = hosts(10)
+    day = Day(replace(SETTINGS, classes=(READ, bound)), listed=listed)
+    for _ in range(6):
+        day.second(listed, demand=(40, 10))
+    cold = host(300, "east", started=day.now)
+    day.send(changes([cold]))
+    actions = day.send(full([cold, *(h for h in listed if h.zone == "west")]))
+    assert set(day.tables[1]) == {300}
+    able = SETTINGS.cold_from * 200 / 10  # its least part of one host's rate
+    let_in = {a.classes: a.level for a in only(actions, SetLevel)}[(1,)] * 40
+    assert let_in <= SETTINGS.fall_multiple * able
+
+
+def test_a_fleet_that_restarts_as_a_whole_is_let_in_by_what_it_can_do() -> None:
+    listed = hosts(10)
+    day = Day(listed=listed)
+    for _ in range(6):
+        day.second(listed, demand=(40, 10))
+    day.send(full([host(h.id, h.zone, started=day.now) for h in listed]))
+    let_in = 160 * day.levels[0] + 40 * day.levels[1]
+    assert let_in <= SETTINGS.fall_multiple * SETTINGS.cold_from * 200
