--- a/kelpcourse/decide.py
+++ b/kelpcourse/decide.py
@@ -46,13 +46,11 @@
 HEALTH_LEAST = 0.04  # a sick host keeps this part: few requests are lost, enough to see it mend
 HEALTH_STEP = 2.0  # restoring, where nothing was heard: doubled at each step
 HEALTH_PROVEN = 4.0  # restoring, where good answers came: a mended zone must not leave the rest to drown
-ONE_CAUSE_US = 30_000_000  # hosts of a zone cut within this time may share a cause
 CALM_LEAST = 3  # good answers in a row that prove
 SPEED_US = 10_000_000  # time in which speeds follow what is seen: reports are late and noisy, faster swings
 SPEED_RANGE = (0.4, 2.5)  # learned part of a weight
 UTIL_LEAST = 0.1  # below it the noise of a load report is larger than what it says
 SPEED_TRIES = 6  # tries before a mean time counts
-COLD_CAUTION = 1.0  # part of a cold host's least capacity that is planned with: retries swell load
 COLD_MOST = 2.0  # times V that hosts may be sent where some are cold, to stay under any fall multiple
 LINE_STEP = 0.08  # smaller relative changes of a weight are not worth a line
 ASK_FIRST_US = 500_000  # first wait before asking discovery again, doubled to a quarter of what is allowed
@@ -70,7 +68,6 @@
     health: float = 1.0
     cut_us: int = 0
     eased_us: int = 0
-    failed_us: int = 0
     tries: float = 0.0
     failed: float = 0.0
     good: float = 0.0
@@ -138,7 +135,7 @@
         self.proxies: dict[ProxyId, Proxy] = {}
         self.keys = self._table_keys()
         self.lines: dict[TableId, dict[HostId, float]] = {t: {} for t in self.keys.values()}
-        self.levels_sent: dict[tuple[TableId, int], tuple[float, Retry]] = {}
+        self.levels_sent: dict[tuple[TableId, int], float] = {}
         self.out_hosts: set[HostId] = set()  # withdrawn by this instance
         self.dropped: set[HostId] = set()  # to be withdrawn with the next orders
         self.levels = [1.0] * len(settings.classes)
@@ -151,7 +148,7 @@
         self.reports = self.lag_us = 0
         self.backlog = 0.0
         self.fleet = 0.0  # what the open hosts can do by their weights, when V was last set against it
-        self.level_log: deque[tuple[int, list[float]]] = deque([(0, list(self.levels))])
+        self.level_log: deque[tuple[int, list[float]]] = deque([(0, list(self.levels))], maxlen=20)
         self.judged_us = self.lines_us = 0
         self.watching = False
         self.ask_wait_us = ASK_FIRST_US
@@ -257,7 +254,7 @@
             server.good += good
             server.calm += good
             if event.failed > SICK_SHARE * event.tries:
-                server.calm, server.failed_us = 0, self.now
+                server.calm = 0
             server.time_us += good * event.good_time_us
             server.load.update(event.load)
 
@@ -305,22 +302,10 @@
             elif total > 0:
                 server.silent += tries * lines.get(number, 0.0) / total
 
-    def _mended_zones(self) -> set[str]:
-        """A zone that fell sick as a whole had one cause: good answers of some of its hosts speak for all."""
-        hit: dict[str, list[Server]] = {}
-        size: dict[str, int] = {}
-        for server in self.servers.values():
-            size[server.host.zone] = size.get(server.host.zone, 0) + 1
-            if server.cut_us > self.now - ONE_CAUSE_US:
-                hit.setdefault(server.host.zone, []).append(server)
-        return {zone for zone, struck in hit.items()
-                if 2 * len(struck) >= size[zone] and sum(v.calm for v in struck) >= CALM_LEAST}
-
     def _judge_hosts(self) -> set[HostId]:
         """Errors held to few hosts are theirs; spread over the fleet they are overload and blame no host."""
         total = sum(v.tries for v in self.servers.values())
         failed = sum(v.failed for v in self.servers.values())
-        mended = self._mended_zones()
         suspects = []
         for server in self.servers.values():
             good = server.tries - server.failed
@@ -332,8 +317,7 @@
                 if self.now - server.cut_us >= self._settle_us():  # what was in flight then says nothing new
                     suspects.append((1.0 if silent else share, server))
             elif server.health < 1:
-                proven = server.calm >= CALM_LEAST or (
-                    server.host.zone in mended and self.now - server.failed_us >= self._settle_us())
+                proven = server.calm >= CALM_LEAST
                 if proven or self.now - max(server.cut_us, server.eased_us) >= RESTORE_US:
                     step = HEALTH_PROVEN if proven else HEALTH_STEP
                     server.health, server.eased_us = min(1.0, server.health * step), self.now
@@ -469,12 +453,12 @@
         """One shared table; classes that may not go everywhere have one of their own hosts."""
         keys: dict[Key, TableId] = {}
         for zone in self.s.zones:
-            for cls in self.s.classes:
-                keys.setdefault(self._key(cls_at=self.s.classes.index(cls), zone=zone), len(keys))
+            for at in range(len(self.s.classes)):
+                keys.setdefault(self._key(at, zone), len(keys))
         return keys
 
-    def _key(self, cls_at: int, zone: str) -> Key:
-        cls = self.s.classes[cls_at]
+    def _key(self, at: int, zone: str) -> Key:
+        cls = self.s.classes[at]
         return cls.only_zones, cls.only_kinds, zone if cls.zone_bound else ""
 
     def _open(self, key: Key) -> list[Server]:
@@ -506,8 +490,8 @@
             total = sum(weights.values())
             for server, warmth in cold:
                 h = server.host.id
-                share = COLD_CAUTION * warmth * base[h] / total_base
-                weights[h] = min(base[h] * server.health * COLD_CAUTION * warmth, share * total)
+                share = warmth * base[h] / total_base
+                weights[h] = min(base[h] * server.health * warmth, share * total)
         return {h: max(w, 0.001) for h, w in weights.items()}
 
     # Publishing
@@ -542,7 +526,7 @@
 
     def _levels_fall(self) -> bool:
         """An overload is answered at once, not with the lines' pace: drains restart that again and again."""
-        return any(self.levels[i] < level - LEVEL_FALL for (_, i), (level, _) in self.levels_sent.items())
+        return any(self.levels[i] < level - LEVEL_FALL for (_, i), level in self.levels_sent.items())
 
     def _withdraw_dropped(self) -> float:
         """Rule 3: a host that drains or is gone is withdrawn at once, whatever tables hold it."""
@@ -571,24 +555,16 @@
             cost += 1
         return cost
 
-    def _retry(self, cls_at: int) -> Retry:
-        """By effect: a try that may have run is never repeated here; one proven unrun always may be."""
-        return Retry.PROVEN_UNRUN
-
     def _send_levels(self) -> float:
         cost = 0.0
         self.level_log.append((self.now, list(self.levels)))
-        while len(self.level_log) > 20:
-            self.level_log.popleft()
-        for i in range(len(self.levels)):
-            level, retry = self.levels[i], self._retry(i)
+        for i, level in enumerate(self.levels):
             for table in dict.fromkeys(self.keys[self._key(i, zone)] for zone in self.s.zones):
-                sent = self.levels_sent.get((table, i))
-                same = sent is not None and sent[1] is retry and (
-                    abs(sent[0] - level) < LEVEL_STEP and (level < 1 or sent[0] == 1))
-                if not same:
-                    self.levels_sent[table, i] = (level, retry)
-                    self.out.append(SetLevel(table, (i,), level, retry))
+                sent = self.levels_sent.get((table, i), -1.0)
+                if abs(sent - level) >= LEVEL_STEP or (level >= 1 > sent):
+                    self.levels_sent[table, i] = level
+                    # Rule 2: only a try proven never to have run goes again, whatever the class's effect.
+                    self.out.append(SetLevel(table, (i,), level, Retry.PROVEN_UNRUN))
                     cost += 1
         return cost
 
