--- a/kelpcourse/decide.py
+++ b/kelpcourse/decide.py
@@ -155,6 +155,7 @@
         self.ask_due_us = 0
         self.number = 0
         self.urgent = False  # until the next orders are out
+        self.hurry = False  # a host fell sick: ahead of the pace, but not of what is kept for urgent orders
 
     # Taking events in
 
@@ -328,6 +329,7 @@
                 spared += server.health >= 1
                 server.health = max(HEALTH_LEAST, server.health * min(0.5, (1 - share) ** 2))
                 server.cut_us = self.now
+                self.hurry = True
         return {v.host.id for v in self.servers.values() if v.health < 1}
 
     def _spread_failures(self, sick: set[HostId]) -> float:
@@ -515,10 +517,10 @@
         if self.s.slices or any(self._messages_left(p) < 1 for p in self.proxies.values()):
             return
         cost = self._withdraw_dropped() if self.urgent else 0.0
-        due = self.now - self.lines_us >= PACE_US or self._levels_fall()
+        due = self.hurry or self.now - self.lines_us >= PACE_US or self._levels_fall()
         if self.urgent or (due and self._ordinary_open()):  # one message for all that has changed
             cost += self._send_lines() + self._send_levels()
-            self.lines_us = self.now
+            self.lines_us, self.hurry = self.now, False
         self.urgent = False
         bind_cost = self._bind_joined()
         if cost or bind_cost:
--- a/tests/test_hosts.py
+++ b/tests/test_hosts.py
@@ -137,3 +137,12 @@
     actions = day.send(HostReport(999, "east", 5, 5, SECOND, 0, ()), HostReport(100, "east", 0, 0, 0, 0, ()))
     actions += day.until(day.now + 3 * SECOND)
     assert 999 not in {a.host for a in only(actions, SetLine)}
+
+
+def test_a_host_that_falls_sick_is_cut_ahead_of_the_pace() -> None:
+    day = Day(listed=hosts(10))
+    run(day, 8)
+    day.second(hosts(10), times={h.id: 150_000 + 60_000 * (h.id % 4) for h in hosts(10)}, demand=(40, 10))
+    before = day.share(100)
+    run(day, 1, failed={100: 1.0})
+    assert day.share(100) < 0.5 * before
