Take acknowledgements off in order, so that checkpoint numbers may start over

Numbers run to 65535; after that every older message would have counted as applied at once, and the channel as empty.

--- a/kelpcourse/decide.py
+++ b/kelpcourse/decide.py
@@ -89,7 +89,13 @@
     usual_rate: float
     bound: set[TableId] = field(default_factory=set)
     sent: deque[int] = field(default_factory=deque)
-    unapplied: dict[int, float] = field(default_factory=dict)
+    unapplied: deque[tuple[int, float]] = field(default_factory=deque)  # checkpoint and lines, oldest first
+
+    def applied(self, number: int) -> None:
+        """Messages arrive in order, so this one and all before it are through; numbers start over in time."""
+        if any(waiting == number for waiting, _ in self.unapplied):
+            while self.unapplied.popleft()[0] != number:
+                pass
 
 
 def fill(
@@ -184,9 +190,7 @@
                 self.proxies.pop(proxy, None)
             case OrdersApplied(proxy, number):
                 if proxy in self.proxies:
-                    waiting = self.proxies[proxy].unapplied
-                    for earlier in [n for n in waiting if n <= number]:
-                        del waiting[earlier]
+                    self.proxies[proxy].applied(number)
             case HostReport():
                 self._take_report(event)
             case DemandReport(proxy, cls, arrived, _, span):
@@ -500,7 +504,7 @@
 
     def _queued(self) -> float:
         """Lines not known to be applied: more than wait in the channel, never fewer."""
-        return sum(sum(p.unapplied.values()) for p in self.proxies.values())
+        return sum(lines for p in self.proxies.values() for _, lines in p.unapplied)
 
     def _messages_left(self, p: Proxy) -> int:
         """Rule 5: what may still be written to a proxy within the span that is counted."""
@@ -591,5 +595,5 @@
         for number, proxy in self.proxies.items():
             if cost or number in bind_cost:
                 lines = self.s.message_head + 1 + cost + bind_cost.get(number, 0.0)
-                proxy.unapplied[self.number] = lines
+                proxy.unapplied.append((self.number, lines))
                 proxy.sent.append(self.now)
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -7,8 +7,8 @@
 import pytest
 
 from kelpcourse.interface import (
-    BindProxy, Checkpoint, Effect, HostList, HostState, ListKind, ProxyJoined, ProxyLeft, Retry, SetLevel,
-    SetLine, Withdraw,
+    BindProxy, Checkpoint, Effect, HostList, HostState, ListKind, OrdersApplied, ProxyJoined, ProxyLeft,
+    Retry, SetLevel, SetLine, Withdraw,
 )
 from tests.fleet import READ, SECOND, SETTINGS, WRITE, Day, changes, full, host, hosts, only
 
@@ -231,3 +231,22 @@
     day.send(full([host(h.id, h.zone, started=day.now) for h in listed]))
     let_in = 160 * day.levels[0] + 40 * day.levels[1]
     assert let_in <= SETTINGS.fall_multiple * SETTINGS.cold_from * 200
+
+
+def test_acknowledgements_free_the_channel_when_checkpoint_numbers_start_over() -> None:
+    listed = hosts(10)
+    day = Day(replace(SETTINGS, channel_backlog=300.0), listed=listed)
+    day.director.number = 65530
+    uneven = {h.id: 100_000 * (1 + k) for k, h in enumerate(listed)}
+    lines = [len(only(day.second(listed, times=uneven), SetLine)) for _ in range(40)]
+    numbers = [a.number for _, a in day.log if isinstance(a, Checkpoint)]
+    assert min(numbers) == 0
+    assert sum(lines[numbers.index(0):]) > 0
+
+
+def test_an_acknowledgement_of_an_earlier_stream_is_disregarded() -> None:
+    day = Day(listed=hosts(4), proxies=1)
+    day.send(ProxyLeft(0))
+    assert only(day.send(OrdersApplied(0, 1, 5)), Withdraw) == []
+    day.send(ProxyJoined(0, "east", 10.0, False), OrdersApplied(0, 999, 5))
+    assert day.director.proxies[0].unapplied
