--- a/kelpcourse/decide.py
+++ b/kelpcourse/decide.py
@@ -272,7 +272,8 @@
 
     def _judge(self) -> None:
         cells = list(self.heard.values())
-        tries, failed, time_us = (sum(c[k] for c in cells) for k in range(3))
+        mean_us = self._mean_time()
+        tries = sum(c[0] for c in cells)
         rates = [sum(c[k] / c[3] for c in cells if c[3] > 0) for k in range(2)]
         span = sum(c[3] for c in cells) / len(cells)
         self.judged_us = self.now
@@ -290,16 +291,18 @@
         # Counts, not rates: a proxy that joined lately reports a whole rate for a part of the period.
         levels = self._levels_at(self.now - lag_us)
         self.backlog += sum(n * lv for n, lv in zip(counts, levels, strict=True)) - tries
-        mean_us = time_us / (tries - failed) if tries > failed else 0.0
         self._judge_load(rates[0], rates[0] - rates[1], self._spread_failures(sick), mean_us, span, lag_us)
 
     def _settle_us(self) -> int:
         """From an order until a report tells of what came after it."""
         return self.s.transit_mean_us + self.s.report_period_us + REPORT_LATE_US
 
+    def _shared_lines(self) -> dict[HostId, float]:
+        return max(self.lines.values(), key=len, default={})
+
     def _count_silence(self, tries: float, ended: set[HostId]) -> None:
         """Tries at a host that answers nothing end only at their time-out: it is missed before they fail."""
-        lines = next(iter(self.lines.values()))
+        lines = self._shared_lines()
         total = sum(lines.values())
         for number, server in self.servers.items():
             if number in ended or self.now - server.eased_us < 2 * self._settle_us():
@@ -364,6 +367,19 @@
         for server in told:
             server.speed = min(SPEED_RANGE[1], max(SPEED_RANGE[0], server.speed / scale))
 
+    def _mean_time(self) -> float:
+        """Mean time of good answers as the shared table meets hosts: those busy with a class of their own
+        must not have the rest turned away from idle hosts."""
+        lines = self._shared_lines()
+        good: dict[HostId, float] = {}
+        time_us: dict[HostId, float] = {}
+        for (host, _), cell in self.heard.items():
+            good[host] = good.get(host, 0.0) + cell[0] - cell[1]
+            time_us[host] = time_us.get(host, 0.0) + cell[2]
+        told = [h for h in good if good[h] > 0]
+        total = sum(lines.get(h, 0.0) for h in told)
+        return sum(lines.get(h, 0.0) * time_us[h] / good[h] for h in told) / total if total > 0 else 0.0
+
     def _mean_aim(self) -> float:
         total = sum(self.demand)
         if total <= 0:
--- a/tests/test_load.py
+++ b/tests/test_load.py
@@ -170,3 +170,17 @@
     day = Day(listed=hosts(10))
     day.second(hosts(10), tries=12, demand=(40, 10))
     assert day.levels == {0: 1.0, 1: 1.0}
+
+
+def test_hosts_busy_with_a_class_of_their_own_do_not_shed_the_rest() -> None:
+    """A zone short of hosts was full of its own class, and reads for the idle zone were refused."""
+    bound = replace(WRITE, only_zones=frozenset({"east"}))
+    day = Day(replace(SETTINGS, classes=(READ, bound)), listed=hosts(10))
+    slow = {h.id: 1_600_000 if h.zone == "east" else 120_000 for h in hosts(10)}
+    low = 1.0
+    for k in range(40):
+        day.second(hosts(10), times=slow, demand=(20, 30))
+        if k >= 25:
+            low = min(low, day.levels[0])
+    assert day.share(100) < day.share(101)
+    assert low > 0.9
