Serve load reports that name the busy share without the served rate

Any set of load values is served now; speeds come from served rate over busy share only where a host reports both.

--- a/kelpcourse/decide.py
+++ b/kelpcourse/decide.py
@@ -353,7 +353,8 @@
         if len(told) < 2:
             return
         gain = min(1.0, self.s.report_period_us / SPEED_US)
-        able = {v.host.id: v.load["qps"] / v.load["util"] for v in told if v.load.get("util", 0) > UTIL_LEAST}
+        able = {v.host.id: v.load["qps"] / v.load["util"] for v in told
+                if v.load.get("util", 0) > UTIL_LEAST and "qps" in v.load}
         if len(able) == len(told):  # work done for each busy core: what it can do, whatever its load
             mean = sum(able.values()) / len(able)
             for server in told:
--- a/tests/test_hosts.py
+++ b/tests/test_hosts.py
@@ -148,3 +148,14 @@
     before = day.share(100)
     run(day, 1, failed={100: 1.0})
     assert day.share(100) < 0.5 * before
+
+
+def test_any_set_of_load_values_is_served() -> None:
+    """A site may report the busy share without the served rate, or neither, or either for some hosts only."""
+    for names in (("util",), ("qps",), ("inflight", "queue"), ()):
+        day = Day(replace(SETTINGS, load_inline=True, load_names=names), listed=hosts(10))
+        load = {h.id: tuple((name, 0.5) for name in names) for h in hosts(10) if h.id != 104}
+        times = {h.id: 400_000 if h.id < 105 else 200_000 for h in hosts(10)}
+        for _ in range(12):
+            day.second(hosts(10), load=load, times=times, demand=(40, 10))
+        assert day.share(109) > day.share(100)
