--- a/kelpcourse/decide.py
+++ b/kelpcourse/decide.py
@@ -34,6 +34,7 @@
 CUT_LEAST = 0.3  # part of V that is always let in: a wrong backlog must not shut the door
 REPORT_LATE_US = 700_000  # assumed lateness of a report beyond its period, which no setting tells
 LEVEL_LEAST = 0.05  # no class is ever shut out: some answers are needed to see that the load has gone
+RATE_ALL = 1e6  # requests a second at a proxy that stand for no limit, where levels are rates
 LEVEL_FALL = 0.1  # a fall of a level by this much is sent ahead of the pace
 LEVEL_STEP = 0.03  # smaller changes of a level are not worth an order
 SICK_SHARE = 0.05  # a host's failed share that halves its weight (the design's figure)
@@ -578,6 +579,13 @@
             cost += 1
         return cost
 
+    def _quota(self, at: int) -> float:
+        """A class's level as this site's proxies read it: a share, or a rate at each proxy."""
+        if self.s.admission is not Admission.RATE:
+            return self.levels[at]
+        rate = self.levels[at] * self.demand[at] / max(1, len(self.proxies))
+        return rate if self.levels[at] < 1 else RATE_ALL
+
     def _send_levels(self) -> float:
         cost = 0.0
         self.level_log.append((self.now, list(self.levels)))
@@ -587,7 +595,7 @@
                 if abs(sent - level) >= LEVEL_STEP or (level >= 1 > sent):
                     self.levels_sent[table, i] = level
                     # Rule 2: only a try proven never to have run goes again, whatever the class's effect.
-                    self.out.append(SetLevel(table, (i,), level, Retry.PROVEN_UNRUN))
+                    self.out.append(SetLevel(table, (i,), self._quota(i), Retry.PROVEN_UNRUN))
                     cost += 1
         return cost
 
--- a/tests/test_load.py
+++ b/tests/test_load.py
@@ -184,3 +184,13 @@
             low = min(low, day.levels[0])
     assert day.share(100) < day.share(101)
     assert low > 0.9
+
+
+def test_levels_are_rates_at_each_proxy_where_the_site_reads_them_so() -> None:
+    day = Day(replace(SETTINGS, admission=Admission.RATE), listed=hosts(10))
+    steady(day)
+    assert min(day.levels.values()) >= 1000  # no limit
+    for _ in range(3):
+        day.second(hosts(10), time_us=500_000, demand=(60, 8))
+    assert 5 < day.levels[0] < 60  # each of four proxies meets 60 a second
+    assert day.levels[1] >= 1000
