--- /dev/null
+++ b/kelpcourse/__main__.py
@@ -0,0 +1,9 @@
+"""Entry point: `python -m kelpcourse` runs one director on real sockets."""
+
+import os
+import sys
+
+from kelpcourse.service.director import main
+
+if __name__ == "__main__":
+    sys.exit(main(os.environ))
--- /dev/null
+++ b/kelpcourse/facade.py
@@ -0,0 +1,248 @@
+"""The one door to the decision module, in blocking style: report what was heard, tick, pick the work due."""
+
+from __future__ import annotations
+
+import heapq
+import math
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass, field
+from typing import Protocol
+
+from kelpcourse.decide import Director
+from kelpcourse.interface import (
+    Action, BindProxy, Checkpoint, ClearTable, DemandReport, Event, FetchList, Host, HostList, HostReport,
+    HostState, ListKind, Log, OrdersApplied, ProbeAnswered, ProbeHost, ProbeStatus, ProxyJoined, ProxyLeft,
+    SetLevel, SetLine, SetTimer, Settings, Started, TellPeer, TimerFired, WatchList, Withdraw,
+)
+from kelpcourse.memory.hosts import Hosts, Member, Phase
+from kelpcourse.memory.orders import EmptyTable, Limit, Mark, Order, SetShare, ShutOut, UseTable
+from kelpcourse.service.limits import Limits
+
+STATES = {Phase.READY: HostState.READY, Phase.DRAINING: HostState.DRAINING, Phase.GONE: HostState.GONE}
+Load = Sequence[tuple[str, float]]
+
+
+class Unknown(ValueError):
+    """What was reported names something that this director does not know, or a figure out of range."""
+
+
+class Decider(Protocol):
+    def step(self, now_us: int, events: Sequence[Event]) -> list[Action]: ...
+
+
+@dataclass
+class Work:
+    """What the module wants done, in plain terms."""
+
+    orders: list[Order] = field(default_factory=list)
+    watch: bool | None = None  # start (anew) or end the watch of the list
+    fetches: int = 0  # whole lists asked for
+    probes: list[tuple[str, tuple[str, int]]] = field(default_factory=list)
+    notes: list[str] = field(default_factory=list)
+    undelivered: int = 0  # orders for hosts no longer known, or for what is not spoken here
+
+
+class Facade:
+    def __init__(self, settings: Settings, seed: int, limits: Limits,
+                 make: Callable[[Settings], Decider] = Director) -> None:
+        self._settings = settings
+        self._limits = limits
+        self._module = make(settings)
+        self._hosts = Hosts(limits.names)
+        self._events: list[Event] = [Started(seed)]
+        self._gathered_us: int | None = None  # when what waits is to be stepped
+        self._timers: list[tuple[int, int, str]] = []
+        self._timer_number = 0
+        self._work = Work()
+        self._classes = {cls.name: at for at, cls in enumerate(settings.classes)}
+        self._now = 0
+
+    # Reports
+
+    def report_known(self, members: Sequence[Member], version: int) -> None:
+        """The list as this director last had it, before its start."""
+        self._take_list(ListKind.RESTORED, members, version)
+
+    def report_list(self, members: Sequence[Member], version: int, whole: bool) -> None:
+        self._take_list(ListKind.FULL if whole else ListKind.CHANGES, members, version)
+
+    def report_list_lost(self) -> None:
+        """A watch or a call for the list failed."""
+        self._events.append(HostList(ListKind.UNAVAILABLE, 0, ()))
+
+    def report_joined(self, proxy: int, zone: str, share: float, standing: bool) -> None:
+        self._events.append(ProxyJoined(self._proxy(proxy), self._zone(zone), _figure(share), standing))
+
+    def report_left(self, proxy: int) -> None:
+        self._events.append(ProxyLeft(self._proxy(proxy)))
+
+    def report_applied(self, proxy: int, stamp: int, lag_ms: float) -> None:
+        self._events.append(OrdersApplied(self._proxy(proxy), _count(stamp), _us(lag_ms)))
+
+    def report_tries(self, host: str, zone: str, tries: int, failed: int, window_ms: float,
+                     mean_ms: float, load: Load) -> None:
+        """What the proxies of a zone met at a host."""
+        if _count(failed) > _count(tries):
+            raise Unknown(f"{failed} of {tries} tries failed")
+        self._events.append(HostReport(self._host(host), self._zone(zone), tries, failed, _us(window_ms),
+                                       _us(mean_ms), _load(load)))
+
+    def report_usage(self, proxy: int, kind: str, arrived: int, unanswered: int, window_ms: float) -> None:
+        """The requests of a class that reached a proxy."""
+        if kind not in self._classes:
+            raise Unknown(f"class {kind!r} is not in the settings")
+        self._events.append(DemandReport(self._proxy(proxy), self._classes[kind], _count(arrived),
+                                         _count(unanswered), _us(window_ms)))
+
+    def report_probe(self, host: str, outcome: str, took_us: int, load: Load) -> None:
+        self._events.append(ProbeAnswered(self._host(host), ProbeStatus(outcome), took_us, _load(load)))
+
+    # Steps
+
+    def due_us(self) -> int | None:
+        """When the next tick has something to do; None: nothing waits."""
+        dues = [self._timers[0][0]] if self._timers else []
+        if self._events:
+            dues.append(self._gathered_us if self._gathered_us is not None else 0)
+        return min(dues, default=None)
+
+    def tick(self, now_us: int) -> bool:
+        """Runs a step if something is due. What arrives together goes into one step."""
+        self._now = now_us = max(now_us, self._now)
+        if self._events and self._gathered_us is None:
+            self._gathered_us = now_us + self._limits.gather_us
+        if not self._due(now_us):
+            return False
+        while self._timers and self._timers[0][0] <= now_us:
+            self._events.append(TimerFired(heapq.heappop(self._timers)[2]))
+        events, self._events, self._gathered_us = self._events, [], None
+        for action in self._module.step(now_us, events):
+            self._take(action)
+        return True
+
+    def _due(self, now_us: int) -> bool:
+        if self._timers and self._timers[0][0] <= now_us:
+            return True
+        return self._gathered_us is not None and self._gathered_us <= now_us
+
+    def pick(self) -> Work:
+        """The work that steps have asked for since the last pick."""
+        work, self._work = self._work, Work()
+        return work
+
+    # From plain terms to the module's
+
+    def _take_list(self, kind: ListKind, members: Sequence[Member], version: int) -> None:
+        self._hosts.take(members, kind is not ListKind.CHANGES)
+        hosts = tuple(self._listed(m) for m in members)
+        self._events.append(HostList(kind, version, hosts))
+
+    def _listed(self, m: Member) -> Host:
+        return Host(self._host(m.name), m.zone, m.kind, m.cell, m.size, STATES[m.phase], _us(m.up_since_ms))
+
+    def _host(self, name: str) -> int:
+        number = self._hosts.number(name)
+        if number is None:
+            raise Unknown(f"host {name!r} was never listed")
+        return number
+
+    def _proxy(self, proxy: int) -> int:
+        if not 0 <= proxy < self._settings.proxies:
+            raise Unknown(f"proxy {proxy} is not below {self._settings.proxies}")
+        return proxy
+
+    def _zone(self, zone: str) -> str:
+        if zone not in self._settings.zones:
+            raise Unknown(f"zone {zone!r} is not in the settings")
+        return zone
+
+    # From the module's terms to plain ones
+
+    def _take(self, action: Action) -> None:
+        match action:
+            case SetTimer(name, at_us):
+                self._set_timer(name, at_us)
+            case WatchList(on):
+                self._work.watch = on
+            case FetchList():
+                self._work.fetches += 1
+            case ProbeHost(host):
+                self._probe(host)
+            case Log(text):
+                self._work.notes.append(text)
+            case TellPeer():
+                self._work.undelivered += 1  # no word for it on these sockets
+            case _:
+                self._order(action)
+
+    def _set_timer(self, name: str, at_us: int) -> None:
+        if len(self._timers) >= self._limits.timers:
+            self._work.undelivered += 1
+            return
+        self._timer_number += 1
+        heapq.heappush(self._timers, (at_us, self._timer_number, name))
+
+    def _probe(self, host: int) -> None:
+        name = self._hosts.name(host)
+        address = self._hosts.address(name) if name is not None else None
+        if name is None or address is None:
+            self._work.undelivered += 1
+        else:
+            self._work.probes.append((name, address))
+
+    def _order(self, action: Action) -> None:
+        order = self._plain(action)
+        if order is None:
+            self._work.undelivered += 1
+        else:
+            self._work.orders.append(order)
+
+    def _plain(self, action: Action) -> Order | None:
+        match action:
+            case SetLine(table, host, weight):
+                name = self._hosts.name(host)
+                return SetShare(table, name, _rounded(weight)) if name is not None else None
+            case Withdraw(host, out):
+                name = self._hosts.name(host)
+                return ShutOut(name, out) if name is not None else None
+            case ClearTable(table):
+                return EmptyTable(table)
+            case BindProxy(proxy, table, classes):
+                return UseTable(proxy, table, self._names(classes))
+            case SetLevel(table, classes, level, retry):
+                return Limit(table, self._names(classes), _rounded(level), retry.value)
+            case Checkpoint(number, everyone):
+                return Mark(number, everyone)
+        return None
+
+    def _names(self, classes: tuple[int, ...]) -> tuple[str, ...]:
+        return tuple(self._settings.classes[at].name for at in classes)
+
+
+def _rounded(figure: float) -> float:
+    """As many digits as the simulator's wire carries."""
+    return float(f"{figure:.6g}")
+
+
+def _figure(value: float) -> float:
+    if not math.isfinite(value) or value < 0:
+        raise Unknown(f"figure {value} is out of range")
+    return value
+
+
+def _count(value: int) -> int:
+    if not 0 <= value < 1 << 53:
+        raise Unknown(f"count {value} is out of range")
+    return value
+
+
+def _us(ms: float) -> int:
+    if not math.isfinite(ms) or not 0 <= ms < 1e15:
+        raise Unknown(f"time {ms} is out of range")
+    return round(ms * 1000)
+
+
+def _load(load: Load) -> tuple[tuple[str, float], ...]:
+    if any(not math.isfinite(value) for _, value in load):
+        raise Unknown("a load report is out of range")
+    return tuple(load)
--- a/kelpcourse/simhost/fields.py
+++ b/kelpcourse/fields.py
@@ -33,6 +33,13 @@
             pairs[name] = value
         return cls(pairs)
 
+    @classmethod
+    def of_nested(cls, value: Mapping[str, object]) -> Fields:
+        """The same fields out of nested JSON, as the simulator would write them on one line."""
+        pairs: dict[str, str] = {}
+        _flatten(value, "", pairs)
+        return cls(pairs)
+
     def under(self, path: str) -> Fields:
         return Fields(self._pairs, f"{self._prefix}{path}.")
 
@@ -90,6 +97,33 @@
         return tuple(out)
 
 
+def _flatten(value: Mapping[str, object], path: str, pairs: dict[str, str]) -> None:
+    for name, item in value.items():
+        key = path + name
+        if isinstance(item, Mapping):
+            _flatten(item, key + ".", pairs)
+        elif isinstance(item, list) and any(isinstance(entry, Mapping) for entry in item):
+            pairs[key + ".count"] = str(len(item))
+            for k, entry in enumerate(item):
+                if not isinstance(entry, Mapping):
+                    raise WireError(f"field '{key}.{k}' is not an object")
+                _flatten(entry, f"{key}.{k}.", pairs)
+        elif isinstance(item, list):
+            pairs[key] = ",".join(_plain(key, entry) for entry in item)
+        elif item is not None:
+            pairs[key] = _plain(key, item)
+
+
+def _plain(key: str, value: object) -> str:
+    if isinstance(value, bool):
+        return "true" if value else "false"
+    if isinstance(value, str):
+        return value.replace(" ", "_").replace(",", "_")
+    if isinstance(value, int | float):
+        return str(value)
+    raise WireError(f"field '{key}' is not a plain value")
+
+
 def number_of(name: str, value: str) -> float:
     try:
         number = float(value)
--- /dev/null
+++ b/kelpcourse/service/__init__.py
@@ -0,0 +1,1 @@
+"""Start and stop: configuration, limits, logs, signals and the assembly of the director."""
--- /dev/null
+++ b/kelpcourse/service/config.py
@@ -0,0 +1,99 @@
+"""The configuration: NODE_CONFIG, with the variables beside it, into one checked value."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+from pathlib import Path
+
+import orjson
+
+from kelpcourse.fields import Fields, WireError
+from kelpcourse.interface import Settings
+from kelpcourse.settings import read_settings
+from kelpcourse.wire.discovery import HostsList, read_list
+from kelpcourse.wire.fields import BadMessage, address
+from kelpcourse.wire.stream import Address
+
+HOLDS = {"NODE_NAME": "name", "NODE_LISTEN": "listen", "NODE_DISCOVERY": "discovery"}
+
+
+class BadConfig(ValueError):
+    """The configuration can't be used; the text names the field."""
+
+
+@dataclass(frozen=True)
+class Config:
+    name: str
+    listen: Address
+    discovery: Address
+    relay: Address
+    seed: int
+    known: HostsList
+    settings: Settings
+
+
+def read_config(environment: Mapping[str, str]) -> Config:
+    path = environment.get("NODE_CONFIG", "")
+    if not path:
+        raise BadConfig("variable NODE_CONFIG is missing")
+    root = _load(path)
+    for variable, field in HOLDS.items():
+        if variable in environment and environment[variable] != root.get(field):
+            raise BadConfig(f"variable {variable} and field '{field}' differ:"
+                            f" {environment[variable]!r:.60}, {root.get(field)!r:.60}")
+    try:
+        return Config(
+            name=_text(root, "name"),
+            listen=address(_text(root, "listen"), "listen"),
+            discovery=address(_text(root, "discovery"), "discovery"),
+            relay=address(_text(_object(root, "registry"), "address", "registry."), "registry.address"),
+            seed=_seed(_text(root, "seed")),
+            known=read_list(_object(root, "known")),
+            settings=_settings(root),
+        )
+    except BadMessage as error:
+        raise BadConfig(str(error)) from None
+
+
+def _load(path: str) -> Mapping[str, object]:
+    try:
+        root = orjson.loads(Path(path).read_bytes())
+    except OSError as error:
+        raise BadConfig(f"variable NODE_CONFIG: {path}: {error.strerror}") from None
+    except orjson.JSONDecodeError as error:
+        raise BadConfig(f"variable NODE_CONFIG: {path}: not JSON: {error}") from None
+    if not isinstance(root, dict):
+        raise BadConfig(f"variable NODE_CONFIG: {path}: not a JSON object")
+    return root
+
+
+def _settings(root: Mapping[str, object]) -> Settings:
+    try:
+        settings = read_settings(Fields.of_nested(_object(root, "settings")))
+    except WireError as error:
+        raise BadConfig(f"settings: {error}") from None
+    if settings.slices:
+        raise BadConfig("settings: field 'family_info.partitions_n': slices are not served here")
+    return settings
+
+
+def _object(root: Mapping[str, object], name: str) -> Mapping[str, object]:
+    value = root.get(name)
+    if not isinstance(value, dict):
+        raise BadConfig(f"field '{name}' is missing or not an object")
+    return value
+
+
+def _text(root: Mapping[str, object], name: str, under: str = "") -> str:
+    value = root.get(name)
+    if not isinstance(value, str) or not value:
+        raise BadConfig(f"field '{under}{name}' is missing or not a text")
+    return value
+
+
+def _seed(value: str) -> int:
+    try:
+        return int(value, 16)
+    except ValueError:
+        raise BadConfig(f"field 'seed' is not hex digits: {value!r:.60}") from None
--- /dev/null
+++ b/kelpcourse/service/director.py
@@ -0,0 +1,105 @@
+"""The assembly: parts are made, wired together and run until a signal ends them."""
+
+from __future__ import annotations
+
+import os
+import signal
+import sys
+import traceback
+from collections.abc import Mapping
+
+from kelpcourse.facade import Facade, Work
+from kelpcourse.memory.counters import Counters
+from kelpcourse.memory.outbox import Outbox
+from kelpcourse.service.clock import Clock
+from kelpcourse.service.config import BadConfig, Config, read_config
+from kelpcourse.service.limits import Limits
+from kelpcourse.service.logs import Log
+from kelpcourse.service.signals import signal_routine
+from kelpcourse.wire.discovery import Discovery
+from kelpcourse.wire.listener import Listener
+from kelpcourse.wire.loop import Loop, Signal
+from kelpcourse.wire.parts import Parts
+from kelpcourse.wire.probes import Probes
+from kelpcourse.wire.relay import Calls, NewsReader
+
+BAD_CONFIG = 2
+
+
+class Service:
+    def __init__(self, config: Config, limits: Limits) -> None:
+        clock = Clock()
+        self._counters = Counters()
+        self._log = Log(clock, limits, self._counters, config.name)
+        self._loop = Loop(clock, self._defect)
+        self._facade = Facade(config.settings, config.seed, limits)
+        self._parts = Parts(self._facade, limits, self._counters, self._log, self._loop)
+        self._config = config
+        self._outbox = Outbox(limits.orders)
+        self._waiting = Signal()
+        self._discovery = Discovery(self._parts, config.discovery, config.known.version)
+        self._probes = Probes(self._parts)
+        self._stop = 0
+
+    def run(self) -> int:
+        self._log.always("start", pid=os.getpid(), hosts=len(self._config.known.members),
+                         proxies=self._config.settings.proxies)
+        self._facade.report_known(self._config.known.members, self._config.known.version)
+        start = self._loop.start
+        start("signals", signal_routine(self._on_signal))
+        start("calls", Calls(self._parts, self._config.relay, self._outbox, self._waiting).run())
+        start("news", NewsReader(self._parts, self._config.relay, self._outbox).run())
+        self._step()
+        start("listener", Listener(self._parts, self._config.listen).run())
+        while not self._stop:
+            self._loop.turn(self._facade.due_us())
+            self._step()
+        self._log.always("stop", signal=self._stop, counters=self._counters.snapshot())
+        return 0
+
+    def _step(self) -> None:
+        if self._facade.tick(self._loop.clock()):
+            self._counters.add("steps")
+            self._carry_out(self._facade.pick())
+
+    def _carry_out(self, work: Work) -> None:
+        if work.orders:
+            self._counters.add("orders", len(work.orders))
+            given_up = self._outbox.add(work.orders)
+            if given_up:
+                self._counters.add("orders_given_up", given_up)
+                self._log.event("orders_given_up", count=given_up)
+            self._counters.most("orders_waiting_most", len(self._outbox))
+            self._waiting.raise_()
+        if work.watch is not None:
+            self._discovery.watch(work.watch)
+        for _ in range(work.fetches):
+            self._discovery.fetch()
+        for host, address in work.probes:
+            self._probes.probe(host, address)
+        for note in work.notes:
+            self._log.event("module", text=note)
+        if work.undelivered:
+            self._counters.add("undelivered", work.undelivered)
+            self._log.event("undelivered", count=work.undelivered)
+
+    def _on_signal(self, number: int) -> None:
+        if number == signal.SIGUSR1:
+            self._log.always("counters", counters=self._counters.snapshot())
+        else:
+            self._stop = number
+
+    def _defect(self, routine: str, error: Exception) -> None:
+        """A routine has ended by an error that nobody foresaw."""
+        self._counters.add("defects")
+        self._log.always("defect", routine=routine, error="".join(traceback.format_exception(error))[-3000:])
+
+
+def main(environment: Mapping[str, str]) -> int:
+    try:
+        config = read_config(environment)
+    except BadConfig as error:
+        print(f"kelpcourse: {error}", file=sys.stderr)
+        return BAD_CONFIG
+    os.set_blocking(sys.stdout.fileno(), False)
+    return Service(config, Limits()).run()
--- /dev/null
+++ b/kelpcourse/service/limits.py
@@ -0,0 +1,56 @@
+"""Every limit of the director that is not a decision: sizes, counts and times, in one place."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True)
+class Limits:
+    """Filled once at start and handed down. Times in microseconds, sizes in bytes."""
+
+    # Steps
+    gather_us: int = 2_000  # what arrives within this time goes into one step
+    timers: int = 1_000  # the module's timers that may wait
+
+    # Listener
+    connections: int = 256  # collectors and strangers at once
+    line_bytes: int = 1 << 20  # a message
+    read_bytes: int = 64 << 10  # a read buffer at first
+    held_bytes: int = 32 << 20  # in all read buffers of the listener together
+    stranger_us: int = 20_000_000  # without a message that can be read
+    collector_us: int = 60_000_000  # without a line
+    accept_wait_us: int = 100_000  # after descriptors ran out
+    bind_wait_us: int = 100_000  # while the address is still in use
+
+    # Outgoing connections
+    connect_us: int = 500_000
+    send_us: int = 1_000_000
+    head_bytes: int = 16 << 10  # the head of an HTTP answer
+    body_bytes: int = 8 << 20  # the body of one, or one line of a stream
+    backoff_least_us: int = 50_000
+    backoff_most_us: int = 1_000_000
+
+    # Relay
+    call_bytes: int = 60_000  # orders of one call
+    answer_us: int = 250_000  # an answer comes within 50 ms or never
+    throttled_us: int = 100_000  # before a call that was turned away is made again
+    idle_us: int = 3_000_000  # a connection is given up before the relay closes it
+    news_silence_us: int = 2_500_000  # a sign of life comes every second
+    news_settle_us: int = 1_200_000  # a snapshot is whole by then, sign of life or not
+    orders: int = 20_000  # not yet taken
+
+    # Discovery
+    list_us: int = 4_000_000  # for the first object of a watch, or a whole list
+    watch_silence_us: int = 5_000_000  # an empty line comes every 2 s
+    names: int = 4_096  # hosts whose names are remembered
+
+    # Probes
+    probe_us: int = 1_000_000
+    probes_at_once: int = 16
+    probes_waiting: int = 256
+
+    # Logs
+    log_bytes: int = 4_096  # a line: what a pipe takes whole or not at all
+    log_burst: int = 20  # lines of one event
+    log_span_us: int = 10_000_000  # in this time
--- a/kelpcourse/simhost/settings.py
+++ b/kelpcourse/settings.py
@@ -1,9 +1,9 @@
-"""Translating the `config` pairs of `open_instance` into Settings."""
+"""Reading Settings: one reader for the simulator's pairs and for the nested JSON of a configuration."""
 
 from __future__ import annotations
 
 from kelpcourse.interface import Admission, Effect, RequestClass, Retry, Scope, Settings
-from kelpcourse.simhost.fields import Fields, WireError
+from kelpcourse.fields import Fields, WireError
 
 EFFECTS = {
     "read_like": Effect.SAFE, "idempotency_key": Effect.KEYED, "non_idempotent": Effect.UNSAFE,
--- a/kelpcourse/simhost/events.py
+++ b/kelpcourse/simhost/events.py
@@ -9,7 +9,7 @@
     ProbeAnswered, ProbeStatus, ProxyJoined, ProxyLeft, Settings, SliceDemand, SliceLeased,
     SliceLine, TimerFired,
 )
-from kelpcourse.simhost.fields import Fields, WireError
+from kelpcourse.fields import Fields, WireError
 
 STATES = {
     "SERVING": HostState.READY, "DRAINING": HostState.DRAINING, "DELETED": HostState.GONE,
--- a/kelpcourse/simhost/server.py
+++ b/kelpcourse/simhost/server.py
@@ -11,8 +11,8 @@
 from kelpcourse.interface import Action, Event, Host, HostList, ListKind, Settings, Started
 from kelpcourse.simhost.actions import write_action, write_failure
 from kelpcourse.simhost.events import LIST_KINDS, READERS, read_host
-from kelpcourse.simhost.fields import Fields, WireError
-from kelpcourse.simhost.settings import read_settings
+from kelpcourse.fields import Fields, WireError
+from kelpcourse.settings import read_settings
 
 
 class Decider(Protocol):
--- /dev/null
+++ b/kelpcourse/wire/discovery.py
@@ -0,0 +1,129 @@
+"""Discovery: the whole list on request, and a watch that brings changes."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+
+from kelpcourse.memory.hosts import Member, Phase
+from kelpcourse.wire.fields import BadMessage, address, flag, json_object, number, text, whole
+from kelpcourse.wire.http import HttpClient, dial
+from kelpcourse.wire.loop import Routine, Task
+from kelpcourse.wire.parts import Parts
+from kelpcourse.wire.stream import Act, Address, Broken
+
+HOSTS = "/discovery/hosts"
+PHASES = {"ready": Phase.READY, "draining": Phase.DRAINING, "gone": Phase.GONE}
+
+
+@dataclass(frozen=True)
+class HostsList:
+    version: int
+    whole: bool
+    members: tuple[Member, ...]
+
+
+def read_list(fields: Mapping[str, object]) -> HostsList:
+    members = fields.get("members")
+    if not isinstance(members, list):
+        raise BadMessage("field 'members' is not a list")
+    return HostsList(whole(fields, "revision"), flag(fields, "complete"), tuple(map(_member, members)))
+
+
+def _member(entry: object) -> Member:
+    if not isinstance(entry, dict):
+        raise BadMessage("an entry of 'members' is not an object")
+    phase = text(entry, "phase")
+    if phase not in PHASES:
+        raise BadMessage(f"field 'phase' has no such value: {phase!r:.60}")
+    up_since_ms = number(entry, "up_since_ms") if entry.get("up_since_ms") is not None else 0.0
+    return Member(text(entry, "id"), address(text(entry, "host_port"), "host_port"), text(entry, "locality"),
+                  text(entry, "flavor"), whole(entry, "cell"), PHASES[phase], number(entry, "size"),
+                  up_since_ms)
+
+
+class Discovery:
+    """Makes the calls that the module asks for; each is answered to it exactly once."""
+
+    def __init__(self, parts: Parts, address: Address, version: int) -> None:
+        self._parts = parts
+        self._address = address
+        self._version = version
+        self._watch: Task | None = None
+
+    def watch(self, on: bool) -> None:
+        """Starts the watch anew or ends it."""
+        if self._watch is not None:
+            self._parts.loop.stop(self._watch)
+            self._watch = None
+        if on:
+            self._watch = self._parts.loop.start("watch", self._run_watch())
+
+    def fetch(self) -> None:
+        self._parts.loop.start("fetch", self._run_fetch())
+
+    def _run_watch(self) -> Routine:
+        try:
+            yield from self._follow()
+            reason = "ended"
+        except (Broken, BadMessage) as error:
+            reason = str(error)
+        self._lost("watch", reason)
+
+    def _run_fetch(self) -> Routine:
+        try:
+            yield from self._fetch_once()
+        except (Broken, BadMessage) as error:
+            self._lost("fetch", str(error))
+
+    def _lost(self, call: str, reason: str) -> None:
+        self._parts.counters.add("discovery_lost")
+        self._parts.log.event("list_unavailable", call=call, reason=reason, version=self._version)
+        self._parts.facade.report_list_lost()
+
+    def _follow(self) -> Act[None]:
+        until_us = self._parts.clock() + self._parts.limits.list_us
+        client = yield from self._ask(f"{HOSTS}?stream=1&index={self._version}", until_us)
+        try:
+            told = False
+            while True:
+                lines = yield from client.some_lines(until_us)
+                if lines is None:
+                    return
+                for line in lines:
+                    if line:
+                        self._take(read_list(json_object(line)))
+                        told = True
+                    if told:  # an empty line is a sign of life, but no answer to the call
+                        until_us = self._parts.clock() + self._parts.limits.watch_silence_us
+        finally:
+            client.close()
+
+    def _fetch_once(self) -> Act[None]:
+        until_us = self._parts.clock() + self._parts.limits.list_us
+        client = yield from self._ask(HOSTS, until_us)
+        try:
+            body = yield from client.whole_body(until_us)
+            self._take(read_list(json_object(body)))
+        finally:
+            client.close()
+
+    def _ask(self, target: str, until_us: int) -> Act[HttpClient]:
+        self._parts.counters.add("discovery_calls")
+        connect_us = self._parts.clock() + self._parts.limits.connect_us
+        client = yield from dial(self._address, self._parts.limits, connect_us)
+        try:
+            yield from client.request("GET", target, None)
+            status = yield from client.status(until_us)
+            if status != 200:
+                raise Broken(f"answered {status}")
+        except BaseException:
+            client.close()
+            raise
+        return client
+
+    def _take(self, told: HostsList) -> None:
+        self._version = told.version
+        self._parts.counters.add("discovery_lists")
+        self._parts.log.event("list", version=told.version, whole=told.whole, hosts=len(told.members))
+        self._parts.facade.report_list(told.members, told.version, told.whole)
--- /dev/null
+++ b/kelpcourse/wire/listener.py
@@ -0,0 +1,173 @@
+"""The director's own address: collectors hand on reports, and anyone may ask whether it is there."""
+
+from __future__ import annotations
+
+import contextlib
+import errno
+import os
+import socket
+
+from kelpcourse.facade import Unknown
+from kelpcourse.wire.buffers import Buffer, TooLong
+from kelpcourse.wire.fields import BadMessage
+from kelpcourse.wire.loop import READ, Routine, Task, Wait
+from kelpcourse.wire.parts import Parts
+from kelpcourse.wire.stream import Act, Address, Broken, Stream
+from kelpcourse.wire.text import PONG, Collector, Heard, Message, Ping, Usage, parse
+
+
+class Guest:
+    """A connection that came in."""
+
+    def __init__(self, stream: Stream, buffer: Buffer, now_us: int) -> None:
+        self.stream = stream
+        self.buffer = buffer
+        self.zone = ""  # empty: a stranger so far
+        self.heard_us = now_us
+        self.task: Task | None = None
+
+
+class Listener:
+    def __init__(self, parts: Parts, address: Address) -> None:
+        self._parts = parts
+        self._address = address
+        self._guests: dict[Guest, None] = {}
+        self._spare = os.open(os.devnull, os.O_RDONLY)
+
+    def run(self) -> Routine:
+        sock = yield from self._bind()
+        self._parts.log.always("ready", listen=f"{self._address[0]}:{self._address[1]}")
+        try:
+            while True:
+                yield Wait(fd=sock.fileno(), mask=READ)
+                if not self._accept(sock):
+                    yield Wait(self._parts.clock() + self._parts.limits.accept_wait_us)
+        finally:
+            sock.close()
+
+    def _bind(self) -> Act[socket.socket]:
+        """The address may still be held by the process before this one, so a bind is tried again."""
+        while True:
+            sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
+            try:
+                sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+                sock.bind(self._address)
+                sock.listen(128)
+                return sock
+            except OSError as error:
+                sock.close()
+                if error.errno != errno.EADDRINUSE:
+                    raise
+                self._parts.log.event("address_in_use", reason=str(error))
+            yield Wait(self._parts.clock() + self._parts.limits.bind_wait_us)
+
+    def _accept(self, sock: socket.socket) -> bool:
+        """Takes in whoever waits; false if descriptors ran out."""
+        while True:
+            try:
+                connection, _ = sock.accept()
+            except BlockingIOError:
+                return True
+            except OSError as error:
+                if error.errno in (errno.EMFILE, errno.ENFILE, errno.ENOMEM, errno.ENOBUFS):
+                    self._shed_one(sock)
+                    return False
+                continue  # it was reset before it was taken
+            self._welcome(Stream(connection))
+
+    def _shed_one(self, sock: socket.socket) -> None:
+        """Without a descriptor left nobody can even be turned away: the spare one is given up for that."""
+        self._parts.counters.add("connections_shed")
+        self._parts.log.event("descriptors_used_up", connections=len(self._guests))
+        os.close(self._spare)
+        with contextlib.suppress(OSError):
+            sock.accept()[0].close()
+        with contextlib.suppress(OSError):
+            self._spare = os.open(os.devnull, os.O_RDONLY)
+
+    def _welcome(self, stream: Stream) -> None:
+        if len(self._guests) >= self._parts.limits.connections:
+            self._shed_quietest()
+        limits = self._parts.limits
+        guest = Guest(stream, Buffer(limits.read_bytes, limits.line_bytes), self._parts.clock())
+        self._guests[guest] = None
+        self._parts.counters.add("connections")
+        guest.task = self._parts.loop.start("guest", self._serve(guest))
+
+    def _shed_quietest(self) -> None:
+        """Strangers go first, then whoever said nothing for longest."""
+        quietest = min(self._guests, key=lambda g: (bool(g.zone), g.heard_us))
+        self._parts.counters.add("connections_shed")
+        self._parts.log.event("connection_shed", zone=quietest.zone, connections=len(self._guests))
+        self._end(quietest)
+        if quietest.task is not None:
+            self._parts.loop.stop(quietest.task)
+
+    def _serve(self, guest: Guest) -> Routine:
+        limits = self._parts.limits
+        try:
+            while True:
+                limit_us = limits.collector_us if guest.zone else limits.stranger_us
+                room = guest.buffer.space()
+                count = yield from guest.stream.recv_into(room, guest.heard_us + limit_us)
+                if not count:
+                    return
+                self._parts.counters.add("bytes_in", count)
+                guest.buffer.filled(count)
+                for line in guest.buffer.lines():
+                    self._take(guest, line)
+                self._bound_memory()
+                if count == len(room):
+                    yield Wait(0)  # one that sends without end must not keep the others waiting
+        except TooLong:
+            self._parts.bad_message("guest", BadMessage("a line over its limit"))
+        except Broken as error:
+            self._parts.counters.add("connections_broken")
+            self._parts.log.event("connection_ended", zone=guest.zone, reason=str(error))
+        finally:
+            self._end(guest)
+
+    def _bound_memory(self) -> None:
+        """Half lines of up to a limit each are fine on a few connections, not on hundreds."""
+        held = sum(guest.buffer.size for guest in self._guests)
+        self._parts.counters.most("read_buffers_most", held)
+
+    def _end(self, guest: Guest) -> None:
+        if guest in self._guests:
+            del self._guests[guest]
+            guest.stream.close()
+
+    def _take(self, guest: Guest, line: memoryview) -> None:
+        try:
+            message = parse(line)
+            if message is not None:
+                self._report(guest, message)
+                guest.heard_us = self._parts.clock()
+        except (BadMessage, Unknown) as error:
+            self._parts.bad_message("guest", error)
+
+    def _report(self, guest: Guest, message: Message) -> None:
+        match message:
+            case Heard(zone, host, tries, failed, mean_ms, window_ms, load):
+                self._parts.counters.add("heard")
+                self._parts.facade.report_tries(host, zone, tries, failed, window_ms, mean_ms, load)
+            case Usage(proxy, kind, arrived, unanswered, window_ms):
+                self._parts.counters.add("usage")
+                self._parts.facade.report_usage(proxy, kind, arrived, unanswered, window_ms)
+            case Collector(zone):
+                guest.zone = zone
+                self._parts.log.event("collector", zone=zone)
+            case Ping():
+                self._pong(guest)
+
+    def _pong(self, guest: Guest) -> None:
+        self._parts.counters.add("pings")
+        try:
+            sent = guest.stream.sock.send(PONG)
+        except OSError:
+            sent = 0
+        if sent < len(PONG):  # it does not read its answers; half a line must not be followed by another
+            with contextlib.suppress(OSError):
+                guest.stream.sock.shutdown(socket.SHUT_RDWR)
+
+
--- /dev/null
+++ b/kelpcourse/wire/parts.py
@@ -0,0 +1,51 @@
+"""What every counterpart is handed: the door to the module, limits, counters, log and the loop."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Protocol
+
+from kelpcourse.facade import Facade
+from kelpcourse.memory.counters import Counters
+from kelpcourse.service.limits import Limits
+from kelpcourse.wire.loop import Loop
+
+
+class LogLike(Protocol):
+    def event(self, name: str, **fields: object) -> None: ...
+
+    def always(self, name: str, **fields: object) -> None: ...
+
+
+@dataclass(frozen=True)
+class Parts:
+    facade: Facade
+    limits: Limits
+    counters: Counters
+    log: LogLike
+    loop: Loop
+
+    @property
+    def clock(self) -> Callable[[], int]:
+        return self.loop.clock
+
+    def bad_message(self, source: str, error: Exception) -> None:
+        """A message that can't be used is counted, logged at a bounded rate and skipped."""
+        self.counters.add(f"{source}_bad_messages")
+        self.log.event("bad_message", source=source, reason=str(error))
+
+
+class Backoff:
+    """Waits that double from failure to failure, up to a limit."""
+
+    def __init__(self, limits: Limits) -> None:
+        self._limits = limits
+        self._next_us = limits.backoff_least_us
+
+    def next_us(self) -> int:
+        wait, self._next_us = self._next_us, min(self._next_us * 2, self._limits.backoff_most_us)
+        return wait
+
+    def reset(self) -> None:
+        self._next_us = self._limits.backoff_least_us
--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -14,7 +14,7 @@
 from kelpcourse import interface as api
 from kelpcourse.decide import Director
 from kelpcourse.simhost.actions import write_action
-from kelpcourse.simhost.fields import WireError
+from kelpcourse.fields import WireError
 from kelpcourse.simhost.server import Adapter
 
 ROOT = Path(__file__).parent.parent
