--- a/kelpcourse/service/director.py
+++ b/kelpcourse/service/director.py
@@ -8,6 +8,7 @@
 import sys
 import traceback
 from collections.abc import Callable, Mapping
+from functools import partial
 
 from kelpcourse.facade import Facade, Work
 from kelpcourse.memory.counters import Counters
@@ -51,7 +52,9 @@
         self._loop.start("signals", signal_routine(self._on_signal))
         self._step(self._facade.start)
         self._keep("calls", Calls(self._parts, self._config.relay, self._outbox, self._waiting).run)
-        self._keep("news", NewsReader(self._parts, self._config.relay, self._outbox).run)
+        news = NewsReader(self._parts, self._config.relay, self._outbox)
+        for stream in range(self._limits.news_streams):
+            self._keep(f"news {stream}", partial(news.run, stream))
         self._keep("listener", Listener(self._parts, self._config.listen).run)
         while not self._stop:
             self._loop.turn(self._facade.due_us())
--- a/kelpcourse/service/limits.py
+++ b/kelpcourse/service/limits.py
@@ -41,6 +41,8 @@
     idle_us: int = 1_000_000  # a connection is given up before the relay closes it
     news_silence_us: int = 2_500_000  # a sign of life comes every second
     news_settle_us: int = 1_200_000  # a snapshot is whole by then, sign of life or not
+    news_streams: int = 2  # at once, so that one may break without a gap
+    news_ahead: int = 2_000  # lines by which one may be ahead of another
     orders: int = 20_000  # not yet taken
     marks: int = 64  # remembered of those that went out as part of a later one
 
--- a/kelpcourse/wire/relay.py
+++ b/kelpcourse/wire/relay.py
@@ -2,15 +2,14 @@
 
 from __future__ import annotations
 
-from collections.abc import Sequence
-from dataclasses import dataclass
+from collections.abc import Iterable, Sequence
 
 import orjson
 
 from kelpcourse.facade import Unknown
 from kelpcourse.memory.orders import EmptyTable, Limit, Mark, Order, SetShare, ShutOut, UseTable
 from kelpcourse.memory.outbox import Outbox
-from kelpcourse.memory.proxies import Joined, Left, Proxies
+from kelpcourse.memory.proxies import Applied, Joined, Left, News, Proxies
 from kelpcourse.wire.fields import BadMessage, NotJson, flag, json_object, number, text, whole
 from kelpcourse.wire.http import HttpClient, dial
 from kelpcourse.wire.loop import READ, Routine, Signal, Wait, Woken
@@ -92,16 +91,6 @@
     raise BadMessage(f"an answer without 'ok_count': {said:.100}")
 
 
-@dataclass(frozen=True)
-class Applied:
-    proxy: int
-    stamp: int
-    lag_ms: float
-
-
-News = Joined | Left | Applied
-
-
 def read_news(line: memoryview) -> News | None:
     """What a line of news tells; None: a sign of life."""
     fields = json_object(line)
@@ -228,28 +217,31 @@
 
 
 class NewsReader:
-    """Keeps the stream of news open and reports what it tells."""
+    """Keeps streams of news open and reports what they tell. Streams tell the same: while one breaks and is
+    opened again, another goes on, and no proxy can leave and come back unseen."""
 
     def __init__(self, parts: Parts, address: Address, outbox: Outbox) -> None:
         self._parts = parts
         self._address = address
         self._outbox = outbox
-        self._proxies = Proxies()
-        self._settles_us = 0  # when the snapshot counts as whole; 0: it does
-        self._backoff = Backoff(parts.limits)
+        self._proxies = Proxies(parts.limits.news_ahead)
 
-    def run(self) -> Routine:
+    def run(self, stream: int) -> Routine:
+        backoff = Backoff(self._parts.limits)
         while True:
             try:
-                yield from self._follow()
+                yield from self._follow(stream, backoff)
                 reason = "ended"
             except (Broken, NotJson) as error:
                 reason = str(error)
+            finally:
+                self._report(self._proxies.lost(stream))
             self._parts.counters.add("relay_news_lost")
-            self._parts.log.event("news_lost", reason=reason, joined=len(self._proxies))
-            yield Wait(self._parts.clock() + self._backoff.next_us())
+            self._parts.log.event("news_lost", stream=stream, reason=reason, steady=self._proxies.steady,
+                                  joined=len(self._proxies))
+            yield Wait(self._parts.clock() + backoff.next_us())
 
-    def _follow(self) -> Act[None]:
+    def _follow(self, stream: int, backoff: Backoff) -> Act[None]:
         limits = self._parts.limits
         client = yield from dial(self._address, limits, self._parts.clock() + limits.connect_us)
         try:
@@ -257,57 +249,49 @@
             status = yield from client.status(self._parts.clock() + limits.news_silence_us)
             if status != 200:
                 raise Broken(f"answered {status}")
-            self._proxies.begin_snapshot()
-            self._settles_us = self._parts.clock() + limits.news_settle_us
+            self._proxies.opened(stream, self._parts.clock() + limits.news_settle_us)
             self._parts.counters.add("relay_news_streams")
+            self._parts.log.event("news_open", stream=stream)
             heard_us = self._parts.clock()
             while True:
                 lines = yield from client.some_lines(heard_us + limits.news_silence_us)
                 if lines is None:
                     return
                 for line in lines:
-                    self._take(line)
+                    self._take(stream, line)
                     heard_us = self._parts.clock()
+                    backoff.reset()
         finally:
             client.close()
 
-    def _take(self, line: memoryview) -> None:
+    def _take(self, stream: int, line: memoryview) -> None:
         if not line:
             return
         try:
-            news = read_news(line)
-            self._backoff.reset()
-            if self._settles_us and (not isinstance(news, Joined) or self._parts.clock() > self._settles_us):
-                self._end_snapshot()
-            self._report(news)
+            self._report(self._proxies.told(stream, read_news(line), self._parts.clock()))
         except NotJson:
             raise  # what it should have told is lost: only a fresh snapshot mends that
-        except (BadMessage, Unknown) as error:
+        except BadMessage as error:
             self._parts.bad_message("relay", error)
 
-    def _end_snapshot(self) -> None:
-        self._settles_us = 0
-        for left in self._proxies.end_snapshot():
-            self._left(left)
-        self._parts.log.event("news_open", joined=len(self._proxies))
-
-    def _report(self, news: News | None) -> None:
-        if news is None:
-            return
-        if isinstance(news, Applied):
-            self._parts.counters.add("relay_applied")
-            for stamp in self._outbox.stamps(news.stamp):
-                self._parts.facade.report_applied(news.proxy, stamp, news.lag_ms)
-            return
-        changes = self._proxies.joined(news) if isinstance(news, Joined) else self._proxies.left(news)
-        for change in changes:
-            if isinstance(change, Left):
-                self._left(change)
-            else:
-                self._parts.counters.add("relay_joined")
-                self._parts.facade.report_joined(change.proxy, change.zone, change.share, change.standing)
-
-    def _left(self, left: Left) -> None:
-        self._parts.counters.add("relay_left")
-        self._outbox.forget_proxy(left.proxy)
-        self._parts.facade.report_left(left.proxy)
+    def _report(self, changes: Iterable[News]) -> None:
+        for news in changes:
+            try:
+                self._report_one(news)
+            except Unknown as error:
+                self._parts.bad_message("relay", error)
+
+    def _report_one(self, news: News) -> None:
+        facade, counters = self._parts.facade, self._parts.counters
+        match news:
+            case Joined(proxy, zone, share, standing):
+                counters.add("relay_joined")
+                facade.report_joined(proxy, zone, share, standing)
+            case Left(proxy):
+                counters.add("relay_left")
+                self._outbox.forget_proxy(proxy)
+                facade.report_left(proxy)
+            case Applied(proxy, stamp, lag_ms):
+                counters.add("relay_applied")
+                for answered in self._outbox.stamps(stamp):
+                    facade.report_applied(proxy, answered, lag_ms)
--- a/tests/test_facade.py
+++ b/tests/test_facade.py
@@ -11,7 +11,6 @@
 from kelpcourse.facade import Facade, Unknown
 from kelpcourse.memory.hosts import Hosts, Phase
 from kelpcourse.memory.orders import EmptyTable, Limit, Mark, SetShare, ShutOut, UseTable
-from kelpcourse.memory.proxies import Joined, Left, Proxies
 from tests.fleet import SECOND, SETTINGS
 from tests.standins import MS, QUICK, Script, member
 
@@ -196,27 +195,3 @@
     hosts.take([member("b")], True)
     assert hosts.address("a") is None
     assert hosts.address("b") is not None
-
-
-def test_proxies_without_a_gap_are_told_as_the_news_comes() -> None:
-    proxies, news = Proxies(), Joined(1, "east", 2.0, True)
-    proxies.begin_snapshot()
-    assert proxies.joined(news) == [news]
-    assert proxies.end_snapshot() == []
-    assert proxies.left(Left(1)) == [Left(1)]
-    assert proxies.left(Left(1)) == []
-    assert len(proxies) == 0
-
-
-def test_after_a_gap_whoever_stands_in_the_snapshot_has_joined_anew() -> None:
-    proxies = Proxies()
-    proxies.begin_snapshot()
-    for number in (1, 2, 3):
-        proxies.joined(Joined(number, "east", 2.0, True))
-    proxies.end_snapshot()
-    proxies.begin_snapshot()
-    again = Joined(2, "east", 2.0, False)
-    assert proxies.joined(again) == [Left(2), again]
-    assert proxies.left(Left(3)) == [Left(3)]
-    assert proxies.end_snapshot() == [Left(1)]
-    assert len(proxies) == 1
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -10,11 +10,11 @@
 from kelpcourse.interface import OrdersApplied, ProxyJoined, ProxyLeft
 from kelpcourse.memory.orders import EmptyTable, Limit, Mark, Order, SetShare, ShutOut, UseTable
 from kelpcourse.memory.outbox import Outbox
-from kelpcourse.memory.proxies import Joined, Left
+from kelpcourse.memory.proxies import Applied, Joined, Left
 from kelpcourse.wire.fields import BadMessage, NotJson
 from kelpcourse.wire.loop import Signal, Wait
 from kelpcourse.wire.relay import (
-    Applied, Calls, Invalid, NewsReader, Throttled, call_body, encode, read_answer, read_news,
+    Calls, Invalid, NewsReader, Throttled, call_body, encode, read_answer, read_news,
 )
 from kelpcourse.wire.stream import Act
 from tests.standins import MS, QUICK, Bench, Caller, StandIn
@@ -282,8 +282,8 @@
     def __init__(self, bench: Bench, *openings: list[bytes]) -> None:
         self._bench = bench
         self._openings = list(openings)
-        self.feed: list[bytes] = []
-        self.hang_up = False
+        self.feed: list[bytes] = []  # told on every connection
+        self.hang_up = False  # ends the first connection that sees it
         self.stand_in = StandIn(bench.loop, self._serve)
 
     def _serve(self, caller: Caller) -> Act[None]:
@@ -292,9 +292,11 @@
         yield from caller.open_body()
         for line in self._openings.pop(0):
             yield from caller.line(line)
+        told = 0 if self.stand_in.connections == 1 else len(self.feed)
         while not self.hang_up:
-            while self.feed:
-                yield from caller.line(self.feed.pop(0))
+            for line in self.feed[told:]:
+                yield from caller.line(line)
+            told = len(self.feed)
             yield Wait(self._bench.clock() + MS)
         self.hang_up = False
 
@@ -312,9 +314,10 @@
     return orjson.dumps({"type": "applied", "object": {"sidecar": proxy, "version": version, "lag_ms": 1.5}})
 
 
-def start_news(bench: Bench, source: Broadcaster, outbox: Outbox | None = None) -> None:
+def start_news(bench: Bench, source: Broadcaster, outbox: Outbox | None = None, streams: int = 1) -> None:
     reader = NewsReader(bench.parts, source.stand_in.address, outbox if outbox is not None else outbox_of())
-    bench.loop.start("news", reader.run())
+    for stream in range(streams):
+        bench.loop.start("news", reader.run(stream))
 
 
 def test_news_reaches_the_module(bench: Bench) -> None:
@@ -339,6 +342,22 @@
     assert len(bench.log.named("news_lost")) == 1
 
 
+def test_a_stream_that_breaks_beside_another_leaves_no_gap(bench: Bench) -> None:
+    source = Broadcaster(bench, *([joined(0), joined(1), b"{}"] for _ in range(3)))
+    start_news(bench, source, streams=2)
+    bench.until(lambda: source.stand_in.connections == 2 and len(bench.module.events) == 3)
+    source.feed += [b"{}", b"{}", b"{}", applied(0, 5)]
+    bench.until(lambda: OrdersApplied(0, 5, 1500) in bench.module.events)
+    bench.pass_us(5 * MS)
+    source.hang_up = True
+    bench.until(lambda: source.stand_in.connections == 3)
+    source.feed += [left(1), b"{}"]
+    bench.until(lambda: ProxyLeft(1) in bench.module.events)
+    bench.pass_us(5 * MS)
+    assert bench.module.events[3:] == [OrdersApplied(0, 5, 1500), ProxyLeft(1)]
+    assert bench.log.named("news_lost")[0]["steady"] is True
+
+
 def test_silence_ends_a_stream_of_news(bench: Bench) -> None:
     source = Broadcaster(bench, [joined(0), b"{}"], [joined(0), b"{}"])
     start_news(bench, source)
