Judge hosts behind a cut path apart, and let proxies that leave take their backlog along

A trace of what the module judged: from the first report after the cut on, 13 of 15 hosts of the other zone failed all tries (132 of 132), and none was held sick for 4 s; then at most 40 % of the fleet. At fault: _judge_hosts compares a host's failures with those of the rest, of which half is cut too, and counts good answers from before the cut.

--- a/kelpcourse/decide.py
+++ b/kelpcourse/decide.py
@@ -1,7 +1,6 @@
 """Every decision of a director. Events, settings and actions: kelpcourse/interface.py.
 
-One Director is fed batches of events and answers each with actions. It knows nothing but what these told it.
-The order of work in `step`: take events in, judge hosts, judge load, then publish what changed.
+One Director is fed batches of events: it takes them in, judges hosts and load, then publishes what changed.
 """
 
 from __future__ import annotations
@@ -38,6 +37,7 @@
 SICK_LEAST = 4  # failures before a host is judged: fewer come by chance
 SICK_TIMES = 10.0  # and its failures for each good answer, over the rest: else the trouble is everybody's
 SICK_MOST = 0.4  # share of the fleet judged sick at most: beyond it the rest would drown
+MUTE = (0.25, 0.6)  # share of the fleet that answers nothing while the rest does: a cut path, not overload
 FADE = 0.5  # what is kept of a host's counts from report to report
 GAP = 4.0  # times of a line without any report after which a director listens anew, as at its start
 RESTORE_US = 2_000_000  # a sick host goes a step up after so long without cause: few tries must not hold it
@@ -71,6 +71,7 @@
     host: Host
     speed: float = 1.0
     health: float = 1.0
+    unreached: bool = False  # behind a cut path, until it is back
     cut_us: int = 0
     eased_us: int = 0
     tries: float = 0.0
@@ -82,8 +83,7 @@
     load: dict[str, float] = field(default_factory=dict)
 
     def take(self, now_us: int, report: HostReport) -> None:
-        """What was heard before fades by report, not by the clock: on a large fleet reports come by turns,
-        and the fewer tries one director hears of a host, the longer they count."""
+        """What was heard before fades by report, not by the clock: on a large fleet reports come by turns."""
         kept = FADE ** min(1.0, (now_us - self.heard_us) / max(1, report.span_us))
         good = report.tries - report.failed
         self.tries = self.tries * kept + report.tries
@@ -106,11 +106,9 @@
 
     def applied(self, number: int) -> None:
         """Messages arrive in order, so this one and all before it are through; numbers start over in time."""
-        if any(waiting == number for waiting, _ in self.unapplied):
-            waiting = -1
-            while waiting != number:
-                waiting, lines = self.unapplied.popleft()
-                self.queued -= lines
+        numbers = [waiting for waiting, _ in self.unapplied]
+        for _ in range(numbers.index(number) + 1 if number in numbers else 0):
+            self.queued -= self.unapplied.popleft()[1]
 
 
 def fill(demand: Numbers, volume: float, lower: Numbers, upper: Numbers) -> list[float]:
@@ -160,20 +158,15 @@
         self.demand = [0.0] * len(settings.classes)
         self.heard: dict[HostId, list[float]] = {}  # good answers and their time since last judged
         self.arrived = [0.0] * len(settings.classes)  # requests since then, by class
-        self.unanswered = 0.0  # requests let in and lost since then
-        self.good = self.lost = 0.0  # a second: good answers, and requests let in that got none
+        self.unanswered = self.good = self.lost = 0.0  # lost since then; a second: good answers, and lost
         self.spans_us: list[int] = []
         self.cover_us = settings.report_period_us  # time that a line on a host covers
-        self.shedding = False
         self.distinct = 1.0  # part of what comes that a level is drawn for
-        self.backlog = self.mean_us = 0.0
-        self.fleet = 0.0  # what the open hosts can do by their weights, when V was last set against it
+        self.backlog = self.mean_us = self.fleet = 0.0  # fleet: what hosts can do by weight, as V was set
         self.level_log: deque[tuple[int, list[float]]] = deque([(0, list(self.levels))], maxlen=20)
         self.judged_us = self.lines_us = self.lag_us = self.listen_us = 0
-        self.watching = False
-        self.ask_wait_us = ASK_FIRST_US
-        self.ask_due_us = self.number = 0
-        self.urgent = False  # until the next orders are out
+        self.ask_due_us, self.ask_wait_us, self.number = 0, ASK_FIRST_US, 0
+        self.shedding = self.watching = self.urgent = False  # urgent until the next orders are out
 
     # Taking events in
 
@@ -197,8 +190,9 @@
                 self._take_list(event)
             case ProxyJoined(proxy, zone, rate):
                 self.proxies[proxy] = Proxy(zone, rate)
-            case ProxyLeft(proxy):
-                self.proxies.pop(proxy, None)
+            case ProxyLeft(proxy) if proxy in self.proxies:  # what it holds is not reported here any more
+                self.backlog *= 1 - 1 / len(self.proxies)
+                del self.proxies[proxy]
             case OrdersApplied(proxy, number):
                 if proxy in self.proxies:
                     self.proxies[proxy].applied(number)
@@ -273,8 +267,7 @@
         self._count_let_in(good + self.unanswered, span)
         failures = self._judge_hosts()
         self._correct_speeds()
-        self.arrived = [0.0] * len(self.demand)
-        self.heard, self.spans_us, self.unanswered = {}, [], 0.0
+        self.arrived, self.heard, self.spans_us, self.unanswered = [0.0] * len(self.demand), {}, [], 0.0
         self._judge_load(failures, span)
 
     def _count_let_in(self, ended: float, span: float) -> None:
@@ -290,10 +283,11 @@
     def _judge_hosts(self) -> float:
         """Errors held to few hosts are theirs; spread over the fleet they are overload and blame no host.
         Returns the share failed at hosts not held sick."""
-        total = sum(v.tries for v in self.servers.values())
-        failed = sum(v.failed for v in self.servers.values())
+        mute = self._cut_path()
+        judged = [v for h, v in self.servers.items() if h not in mute]
+        total, failed = sum(v.tries for v in judged), sum(v.failed for v in judged)
         sick = sum(1 for v in self.servers.values() if v.health < 1)
-        for server in self.servers.values():
+        for server in judged:
             rest = (failed - server.failed) / max(1.0, total - server.tries - failed + server.failed)
             share = server.failed / max(1.0, server.tries)
             failing = share > SICK_SHARE and server.failed >= max(
@@ -305,9 +299,22 @@
                 server.cut_us, self.urgent = self.now, True
             elif server.health < 1 and self.now - max(server.cut_us, server.eased_us) >= RESTORE_US:
                 server.health, server.eased_us = min(1.0, server.health * HEALTH_STEP), self.now
+                server.unreached &= server.health < 1
         sound = [v for v in self.servers.values() if v.health >= 1]
         return sum(v.failed for v in sound) / max(1.0, sum(v.tries for v in sound))
 
+    def _cut_path(self) -> set[HostId]:
+        """Many hosts that answer nothing while the rest does lie behind a cut path: they are no measure for
+        each other or for V. Covers any cut through a fleet; harms if so many hang in turn."""
+        mute = [v for v in self.servers.values() if v.failed >= SICK_LEAST and v.host.id in self.heard
+                and not self.heard[v.host.id][0]]
+        if not MUTE[0] <= len(mute) / max(1, len(self.servers)) <= MUTE[1]:
+            return set()
+        for server in mute:
+            self.urgent = self.urgent or server.health > HEALTH_LEAST
+            server.health, server.unreached, server.cut_us = HEALTH_LEAST, True, self.now
+        return {v.host.id for v in mute}
+
     def _correct_speeds(self) -> None:
         """Listed weights say little or nothing of speed: let shares follow what hosts show they can do."""
         told = [v for v in self.servers.values() if v.good >= SPEED_TRIES and self._warmth(v) >= 1]
@@ -373,7 +380,7 @@
 
     def _follow_fleet(self) -> None:
         """V was heard from other hosts and proxies if some came, went or warmed up since: scale it."""
-        fleet = sum(self._able(v) for v in self.servers.values())
+        fleet = sum(self._able(v) / (v.health if v.unreached else 1) for v in self.servers.values())
         fleet *= sum(p.usual_rate for p in self.proxies.values())
         if fleet > 0 and self.fleet > 0:
             self.volume *= fleet / self.fleet
@@ -452,9 +459,8 @@
         return {h: max(w * pull.get(self.servers[h].host.zone, 1.0), 0.001) for h, w in weights.items()}
 
     def _beside(self, weights: dict[HostId, float]) -> dict[HostId, float]:
-        """The shared table leaves out what classes with tables of their own bring to some of its hosts: else
-        these are full while the rest idle until times tell. It should catch any mix of classes, and hurts if
-        requests of a class are far lighter or heavier than the mean."""
+        """The shared table leaves out what classes with tables of their own bring to some of its hosts, which
+        would fill while the rest idle. Catches any mix of classes; hurts if works differ a lot."""
         admitted = [n * lv for n, lv in zip(self.demand, self.levels, strict=True)]
         whole, left = sum(weights.values()) / max(1e-9, sum(admitted)), dict(weights)
         for cls, x in zip(self.s.classes, admitted, strict=True):
@@ -466,9 +472,8 @@
         return {h: max(w, LEFT_LEAST * weights[h]) for h, w in left.items()}
 
     def _pull(self, home: str, weights: dict[HostId, float]) -> dict[str, float]:
-        """With more proxies than a host accepts connections, one table for all makes hosts refuse and slow
-        down: proxies then prefer hosts of their zone as far as no host's total changes; what a zone has over
-        goes to what others have left. It eases all costly connections, and hurts if usual rates are wrong."""
+        """With more proxies than a host accepts connections, hosts refuse and slow down: proxies then prefer
+        hosts of their zone as far as no host's total changes. Hurts if usual rates are wrong."""
         come = sum(p.usual_rate for p in self.proxies.values())
         comes = {z: sum(p.usual_rate for p in self.proxies.values() if p.zone == z) / max(1e-9, come)
                  for z in self.s.zones}
@@ -482,8 +487,7 @@
     # Publishing
 
     def _room(self, part: float) -> float:
-        """Rule 5: lines that may still be ordered within a part of the channel's limit. Those not known to be
-        applied count as queued: more than wait there, never fewer, so a slow channel slows orders."""
+        """Rule 5: lines that may still be ordered; all not known to be applied count as queued."""
         return part * self.s.channel_backlog - self.queued
 
     def _order(self, action: Action, table: TableId) -> None:
@@ -519,8 +523,7 @@
         self._checkpoint(withdrawn, self._bind_joined())
 
     def _withdraw_dropped(self, heads: float) -> int:
-        """Rule 3: a host that drains or is gone is withdrawn at once, whatever tables hold it. In a full
-        channel several go together, as the head of a message costs more than a host."""
+        """Rule 3: a host that drains or is gone is withdrawn at once; in a full channel several together."""
         self.dropped -= self.out_hosts
         most = int((self._room(QUEUE_MOST) - heads) / max(1, len(self.proxies)))
         if self.queued and most < min(len(self.dropped), WITHDRAW_HEADS * self.s.message_head):
@@ -533,8 +536,8 @@
         return len(fresh)
 
     def _send_lines(self) -> bool:
-        """Sends the changes that matter most as far as the channel has room: a cold host's fall (rule 4) in
-        all that is left, then new hosts, then the larger ones. Tells whether such a fall still waits."""
+        """As the channel has room: a cold host's fall (rule 4) in all that is left, then new hosts, then the
+        larger changes. Tells whether such a fall still waits."""
         changes: list[tuple[float, TableId, HostId, float]] = []
         for key, table in self.keys.items():
             held, wanted = self.lines[table], self._weights(key)
@@ -583,10 +586,9 @@
                     # Rule 2: only a try proven never to have run goes again, whatever the class's effect.
                     self._order(SetLevel(table, (i,), self._quota(i), Retry.PROVEN_UNRUN), table)
 
-    def _bind_joined(self) -> dict[ProxyId, float]:
-        """A proxy that joins is bound to its tables as soon as the channel has room; that restates what is
-        withdrawn. Where many join at once they are bound in waves and serve from what they hold till then."""
-        cost: dict[ProxyId, float] = {}
+    def _bind_joined(self) -> Counter[ProxyId]:
+        """Proxies that join are bound as the channel has room, many in waves; that restates withdrawals."""
+        cost: Counter[ProxyId] = Counter()
         for number, proxy in self.proxies.items():
             # Rule 1: a proxy not bound yet has few hosts to pick from, and all of them may be withdrawn.
             size = sum(len(self.lines[table]) for table in self.tables.get(proxy.zone, ()))
@@ -597,19 +599,18 @@
                     continue  # rule 1: a table without lines would take away what the proxy holds
                 proxy.bound.add(table)
                 self.out.append(BindProxy(number, table, tuple(classes)))
-                lines = 1 + len(self.lines[table]) + len(classes) + len(self.out_hosts)
-                cost[number] = cost.get(number, 0) + lines
+                cost[number] += 1 + len(self.lines[table]) + len(classes) + len(self.out_hosts)
             self.queued += cost[number] + self.s.message_head + 1 if number in cost else 0
         return cost
 
-    def _checkpoint(self, withdrawn: int, bind: dict[ProxyId, float]) -> None:
+    def _checkpoint(self, withdrawn: int, bind: Counter[ProxyId]) -> None:
         """Books what each proxy is sent, until it tells that it was applied."""
         if not (withdrawn or self.cost or bind):
             return
         self.number = (self.number + 1) % 65536
         self.out.append(Checkpoint(self.number, withdrawn > 0))  # who holds a withdrawn host is not known
         for number, proxy in self.proxies.items():
-            lines = withdrawn + bind.get(number, 0) + sum(self.cost[table] for table in proxy.bound)
+            lines: float = withdrawn + bind[number] + sum(self.cost[table] for table in proxy.bound)
             if lines:
                 lines += self.s.message_head + 1
                 proxy.unapplied.append((self.number, lines))
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -110,8 +110,9 @@
 
     def second(self, listed: Iterable[Host], time_us: int = 200_000, failed: dict[int, float] | None = None,
                times: dict[int, int] | None = None, demand: Sequence[int] = (20, 5), tries: int = 20,
-               load: Mapping[int, tuple[tuple[str, float], ...]] | None = None) -> list[Action]:
-        """One second goes by, then a report on it comes in."""
+               load: Mapping[int, tuple[tuple[str, float], ...]] | None = None,
+               unanswered: int = 0) -> list[Action]:
+        """One second goes by, then a report on it comes in; each proxy lost so many of its first class."""
         out = self.until(self.now + SECOND)
         events: list[Event] = []
         for h in listed:
@@ -121,7 +122,7 @@
             report = (load or {}).get(h.id, ())
             events.append(HostReport(h.id, "east", tries, lost, SECOND, mean, report))
         for proxy in self.joined:
-            events += [DemandReport(proxy, k, n, 0, SECOND) for k, n in enumerate(demand)]
+            events += [DemandReport(proxy, k, n, unanswered * (not k), SECOND) for k, n in enumerate(demand)]
         return out + self.send(*events)
 
     def share(self, number: int, table: int = 0) -> float:
--- a/tests/test_hosts.py
+++ b/tests/test_hosts.py
@@ -4,7 +4,7 @@
 
 from dataclasses import replace
 
-from kelpcourse.interface import HostReport, SetLine
+from kelpcourse.interface import HostReport, ProxyLeft, SetLine
 from tests.fleet import SECOND, SETTINGS, Day, changes, host, hosts, only
 
 
@@ -151,3 +151,70 @@
         for _ in range(12):
             day.second(hosts(10), load=load, times=times, demand=(40, 10))
         assert day.share(109) > day.share(100)
+
+
+# A cut path: one part of the fleet answers nothing, the rest answers
+
+
+def cut_of(count: int) -> dict[int, float]:
+    return {100 + k: 1.0 for k in range(count)}
+
+
+def test_hosts_behind_a_cut_path_are_cut_within_two_reports() -> None:
+    """Half of the fleet fails alike: measured against each other none of them stands out."""
+    day = Day(listed=hosts(10))
+    run(day, 6)
+    run(day, 2, failed=cut_of(5))
+    assert sum(day.share(100 + k) for k in range(5)) < 0.06
+
+
+def test_a_cut_path_is_no_overload() -> None:
+    day = Day(listed=hosts(10))
+    run(day, 6)
+    for _ in range(6):
+        day.second(hosts(10), failed=cut_of(5), demand=(40, 10), unanswered=25)
+    assert day.levels == {0: 1.0, 1: 1.0}
+    assert not day.director.shedding
+
+
+def test_the_good_rate_asked_for_does_not_fall_with_a_path() -> None:
+    """V is heard from the hosts that answer: it is no less for hosts that did not."""
+    day = Day(listed=hosts(10))
+    run(day, 6)
+    before = day.director.volume
+    run(day, 3, failed=cut_of(5))
+    assert day.director.volume > 0.95 * before
+
+
+def test_hosts_come_back_once_the_path_does() -> None:
+    day = Day(listed=hosts(10))
+    run(day, 6)
+    before = day.director.volume
+    run(day, 6, failed=cut_of(5))
+    run(day, 20)
+    assert min(day.share(h.id) for h in hosts(10)) > 0.08
+    assert not any(v.unreached for v in day.director.servers.values())
+    assert day.director.volume < 1.5 * before
+
+
+def test_a_fleet_that_answers_nothing_at_all_blames_no_path() -> None:
+    day = Day(listed=hosts(10))
+    run(day, 6)
+    run(day, 4, failed=cut_of(10))
+    assert all(abs(day.share(h.id) - 0.1) < 0.01 for h in hosts(10))
+
+
+def test_few_silent_hosts_of_a_loaded_fleet_are_no_cut_path() -> None:
+    day = Day(listed=hosts(10))
+    run(day, 6)
+    run(day, 3, failed={h.id: 0.5 for h in hosts(10)} | cut_of(2), tries=6)
+    assert not any(v.unreached for v in day.director.servers.values())
+
+
+def test_what_proxies_hold_that_left_is_not_waited_for() -> None:
+    """Their requests came in by reports that will never tell how they ended."""
+    day = Day(listed=hosts(10))
+    run(day, 6)
+    day.director.backlog = 40.0
+    day.send(ProxyLeft(0), ProxyLeft(1), ProxyLeft(99))
+    assert abs(day.director.backlog - 20.0) < 1e-9
