--- /dev/null
+++ b/tests/test_growth.py
@@ -0,0 +1,105 @@
+"""Time served costs nothing: the work of a second and what is kept are the same early and late. Counted."""
+
+from __future__ import annotations
+
+import gc
+from dataclasses import replace
+
+from kelpcourse.facade import Facade
+from kelpcourse.memory.hosts import Member
+from kelpcourse.memory.outbox import Outbox
+from kelpcourse.memory.proxies import Applied, Joined, Left, News, Proxies
+from kelpcourse.wire.buffers import Buffer
+from kelpcourse.wire.text import Heard, Usage, parse
+from tests.fleet import SECOND, SETTINGS
+from tests.standins import QUICK, member
+from tests.test_work import steps
+
+HOSTS = 10
+PROXIES = 8
+
+
+class Service:
+    """A director without sockets: lines come in by its buffer, orders are taken every third second."""
+
+    def __init__(self) -> None:
+        settings = replace(SETTINGS, proxies=PROXIES)
+        self.facade = Facade(settings, 7, QUICK)
+        self.outbox = Outbox(QUICK.orders, QUICK.marks)
+        self.proxies = Proxies(QUICK.news_ahead)
+        self.buffer = Buffer(QUICK.read_bytes, QUICK.line_bytes)
+        self.now = 50 * SECOND
+        self.second = 0
+        self.names = [f"h{k}" for k in range(HOSTS)]
+        self.facade.report_known(self.members(), 1)
+        self.facade.start(self.now)
+        self.proxies.opened(0, 0)
+        for proxy in range(PROXIES):
+            self.news(Joined(proxy, "east", 10.0, True))
+
+    def members(self) -> list[Member]:
+        return [replace(member(name), zone="west" if k % 2 else "east") for k, name in enumerate(self.names)]
+
+    def news(self, news: News) -> None:
+        for told in self.proxies.told(0, news, self.now):
+            match told:
+                case Joined(proxy, zone, share, standing):
+                    self.facade.report_joined(proxy, zone, share, standing)
+                case Left(proxy):
+                    self.outbox.forget_proxy(proxy)
+                    self.facade.report_left(proxy)
+                case Applied(proxy, stamp, lag_ms):
+                    for answered in self.outbox.stamps(stamp):
+                        self.facade.report_applied(proxy, answered, lag_ms)
+
+    def lines(self) -> bytes:
+        heard = (f"heard az=east host={name} n=20 bad={self.second % 3} avg=150.5 window=1000.0\r\n"
+                 for name in self.names)
+        usage = (f"usage sidecar={proxy} kind=read n=20 bad=0 window=1000.0\r\n" for proxy in range(PROXIES))
+        return "".join((*heard, *usage)).encode()
+
+    def serve(self) -> None:
+        """One second: a proxy comes back, reports come in, orders go out and are answered."""
+        self.second += 1
+        self.now += SECOND
+        again = self.second % PROXIES
+        self.news(Left(again))
+        self.news(Joined(again, "east", 10.0, False))
+        self.buffer.put(self.lines())
+        for line in self.buffer.lines():
+            self.take(line)
+        self.facade.tick(self.now - QUICK.gather_us)
+        self.facade.tick(self.now)
+        self.outbox.add(self.facade.pick().orders)
+        if self.second % 3 == 0 and (orders := self.outbox.begin()):
+            stamps = [order.stamp for order in orders if hasattr(order, "stamp")]
+            self.outbox.taken(len(orders))
+            for stamp in stamps:
+                for proxy in range(PROXIES):
+                    self.news(Applied(proxy, stamp, 100.0))
+
+    def take(self, line: memoryview) -> None:
+        match parse(line):
+            case Heard(zone, host, tries, failed, mean_ms, window_ms, load):
+                self.facade.report_tries(host, zone, tries, failed, window_ms, mean_ms, load)
+            case Usage(proxy, kind, arrived, unanswered, window_ms):
+                self.facade.report_usage(proxy, kind, arrived, unanswered, window_ms)
+
+    def spell(self, seconds: int) -> tuple[int, int]:
+        """Serves so long; the interpreter's steps that it took and the objects that are kept after it."""
+        work = 0
+        for _ in range(seconds):
+            work += steps(self.serve)
+        gc.collect()
+        return work, len(gc.get_objects())
+
+
+def test_work_and_memory_do_not_grow_with_time_served() -> None:
+    service = Service()
+    service.spell(48)
+    early_work, early_kept = service.spell(48)
+    for _ in range(480):
+        service.serve()
+    late_work, late_kept = service.spell(48)
+    assert late_work < 1.1 * early_work
+    assert late_kept < early_kept + 200
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -136,6 +136,11 @@
     yield from caller.answer(429, b'{"error":"Throttling"}')
 
 
+def throttle_and_close(caller: Caller, count: int) -> Act[None]:
+    yield from throttle(caller, count)
+    caller.stream.close()
+
+
 def invalid(caller: Caller, _: int) -> Act[None]:
     yield from caller.answer(400, b'{"error":"ValidationError"}')
 
@@ -238,6 +243,15 @@
     assert bench.counters["relay_calls_failed"] == 0
 
 
+def test_a_connection_closed_between_two_calls_is_not_written_to(bench: Bench) -> None:
+    """What is written to it would be lost or not, and the call would count as broken."""
+    relay, outbox = Relay(bench, throttle_and_close), outbox_of(SET, MARK)
+    start_calls(bench, relay, outbox)
+    bench.until(lambda: not outbox.batches)
+    assert relay.verbs() == [["SET", "SYNC"]] * 2
+    assert bench.counters["relay_calls_failed"] == 0
+
+
 def test_an_idle_connection_is_given_up_before_the_relay_does_so(bench: Bench) -> None:
     relay, outbox = Relay(bench), outbox_of(SET, MARK)
     waiting = start_calls(bench, relay, outbox)
