Let silent or senseless strangers make way when descriptors run out

From a review: with no descriptor left every newcomer was turned away for up to 20 s, a collector that came back too, while silent strangers stayed (Listener._accept). Now the quietest stranger makes way; the limit of connections follows what the system grants; a stranger that sends 100 lines without sense is let go. Tests with failing accepts and with the real program at 48 descriptors and 100 strangers.

--- a/kelpcourse/service/director.py
+++ b/kelpcourse/service/director.py
@@ -4,6 +4,7 @@
 
 import errno
 import os
+import resource
 import signal
 import sys
 import traceback
@@ -123,7 +124,8 @@
         print(f"kelpcourse: {error}", file=sys.stderr)
         return BAD_CONFIG
     os.set_blocking(sys.stdout.fileno(), False)
-    return Service(config, Limits().within(config.sockets, config.memory_mb)).run()
+    granted = resource.getrlimit(resource.RLIMIT_NOFILE)[0]
+    return Service(config, Limits().within(min(config.sockets, granted), config.memory_mb)).run()
 
 
 def check_address(address: Address) -> None:
--- a/kelpcourse/service/limits.py
+++ b/kelpcourse/service/limits.py
@@ -22,6 +22,7 @@
     read_bytes: int = 16 << 10  # a read buffer at first
     held_bytes: int = 32 << 20  # in all read buffers of the listener together
     stranger_us: int = 20_000_000  # without a message that can be read
+    stranger_bad: int = 100  # messages that can't, from one that did not say that it is a collector
     collector_us: int = 60_000_000  # without a line
     accept_wait_us: int = 100_000  # after descriptors ran out
     bind_wait_us: int = 100_000  # while the address is still in use
--- a/kelpcourse/wire/listener.py
+++ b/kelpcourse/wire/listener.py
@@ -27,6 +27,7 @@
         self.buffer = buffer
         self.zone = ""  # empty: a stranger so far
         self.heard_us = now_us
+        self.bad = 0  # messages that could not be used
         self.task: Task | None = None
 
 
@@ -80,15 +81,19 @@
                 return True
             except ConnectionAbortedError:
                 continue  # it was reset before it was taken
-            except OSError:
-                self._shed_one(sock)
+            except OSError as error:  # as a rule: no descriptor is left
+                self._parts.log.event("descriptors_used_up", reason=str(error), connections=len(self._guests))
+                self._make_way(sock)
                 return False
             self._welcome(Stream(connection))
 
-    def _shed_one(self, sock: socket.socket) -> None:
-        """Without a descriptor left nobody can even be turned away: the spare one is given up for that."""
+    def _make_way(self, sock: socket.socket) -> None:
+        """The quietest guest goes, so that silent strangers can't shut a collector out. Without guests nobody
+        can even be turned away: the spare descriptor is given up for that."""
+        if self._guests:
+            self._shed_quietest()
+            return
         self._parts.counters.add("connections_shed")
-        self._parts.log.event("descriptors_used_up", connections=len(self._guests))
         if self._spare >= 0:
             os.close(self._spare)
             self._spare = -1
@@ -127,6 +132,8 @@
                 guest.buffer.filled(count)
                 for line in guest.buffer.lines():
                     self._take(guest, line)
+                if not guest.zone and guest.bad > limits.stranger_bad:
+                    raise Broken("a stranger that makes no sense")
                 if self._over_memory(guest):
                     raise Broken("read buffers are over their limit together")
                 if count == len(room):
@@ -157,6 +164,7 @@
                 self._report(guest, message)
                 guest.heard_us = self._parts.clock()
         except (BadMessage, Unknown) as error:
+            guest.bad += 1
             self._parts.bad_message("guest", error)
 
     def _report(self, guest: Guest, message: Message) -> None:
--- a/tests/test_director.py
+++ b/tests/test_director.py
@@ -47,9 +47,12 @@
                 "known": {"revision": 40, "complete": True, "members": HOSTS}, **changes}
         self.path.write_bytes(orjson.dumps(root))
 
-    def start(self) -> subprocess.Popen[bytes]:
+    def start(self, descriptors: int = 0) -> subprocess.Popen[bytes]:
         environment = {**os.environ, "NODE_CONFIG": str(self.path), "NODE_LISTEN": text(self.listen)}
-        self.process = subprocess.Popen([sys.executable, "-m", "kelpcourse"], env=environment,
+        command = [sys.executable, "-m", "kelpcourse"]
+        if descriptors:
+            command = ["/bin/sh", "-c", f"ulimit -n {descriptors}; exec {sys.executable} -m kelpcourse"]
+        self.process = subprocess.Popen(command, env=environment,
                                         stdout=subprocess.PIPE, stderr=subprocess.PIPE,
                                         cwd=Path(__file__).parent.parent)
         return self.process
@@ -181,6 +184,19 @@
     world.close()
 
 
+def test_a_crowd_of_strangers_does_not_keep_it_from_its_work(world: World) -> None:
+    """More connections than it has descriptors for: it answers and orders all the same."""
+    world.start(descriptors=48)
+    world.until(world.ping)
+    crowd = [socket.create_connection(world.listen) for _ in range(100)]
+    world.until(world.ping)
+    world.news += [joined(0).replace(b"east", b"room-a")]
+    world.until(lambda: world.ordered(verb="USE", sidecar=0))
+    world.until(world.ping)
+    for stranger in crowd:
+        stranger.close()
+
+
 def test_a_bad_configuration_is_one_plain_message(world: World) -> None:
     for changes, message in [
             ({"seed": "xyz"}, b"kelpcourse: field 'seed' is not hex digits: 'xyz'\n"),
--- a/tests/test_listener.py
+++ b/tests/test_listener.py
@@ -205,16 +205,38 @@
     front.close()
 
 
-def test_descriptors_used_up_shed_the_newcomer_and_pass(
+class NoDescriptors:
+    """accept fails as it does with EMFILE, so many times."""
+
+    def __init__(self, monkeypatch: pytest.MonkeyPatch, times: int) -> None:
+        self.left = times
+        real = socket.socket.accept
+
+        def accept(sock: socket.socket) -> tuple[socket.socket, object]:
+            if self.left:
+                self.left -= 1
+                raise OSError(errno.EMFILE, "too many open files")
+            return real(sock)
+        monkeypatch.setattr(socket.socket, "accept", accept)
+
+
+def test_without_descriptors_the_quietest_stranger_makes_way(
         front: Front, monkeypatch: pytest.MonkeyPatch) -> None:
-    """accept fails with EMFILE: the newcomer is turned away with the spare descriptor and nothing spins."""
-    real, failures = socket.socket.accept, [True, False]
-
-    def accept(sock: socket.socket) -> tuple[socket.socket, object]:
-        if failures and failures.pop(0):
-            raise OSError(errno.EMFILE, "too many open files")
-        return real(sock)
-    monkeypatch.setattr(socket.socket, "accept", accept)
+    collector, stranger = front.connect(), front.connect()
+    collector.sendall(b"collector az=east\r\n")
+    front.bench.until(lambda: front.bench.log.named("collector"))
+    NoDescriptors(monkeypatch, 1)
+    later = front.connect()
+    later.sendall(USAGE)
+    front.bench.until(front.reports)
+    assert heard_back(stranger) == b""
+    assert heard_back(collector) is None
+
+
+def test_without_descriptors_or_guests_the_newcomer_is_turned_away(
+        front: Front, monkeypatch: pytest.MonkeyPatch) -> None:
+    """A spare descriptor is given up for that: else the listener would be woken for ever and do nothing."""
+    NoDescriptors(monkeypatch, 1)
     turned_away = front.connect()
     front.bench.until(lambda: front.bench.counters["connections_shed"] == 1)
     assert heard_back(turned_away) == b""
@@ -223,6 +245,17 @@
     front.bench.until(front.reports)
 
 
+def test_a_stranger_that_makes_no_sense_is_let_go_and_a_collector_is_not(front: Front) -> None:
+    stranger, collector = front.connect(), front.connect()
+    collector.sendall(b"collector az=east\r\n")
+    for peer in (stranger, collector):
+        peer.sendall(b"GET / HTTP/1.1\r\n" * (QUICK.stranger_bad + 1))
+    front.bench.until(lambda: front.bench.counters["guest_bad_messages"] == 2 * (QUICK.stranger_bad + 1))
+    front.bench.pass_us(2 * MS)
+    assert heard_back(stranger) == b""
+    assert heard_back(collector) is None
+
+
 def test_read_buffers_are_bounded_together(bench: Bench) -> None:
     bench.parts = replace(bench.parts, limits=replace(QUICK, held_bytes=256 << 10, stranger_us=10_000 * MS))
     front = Front(bench)
