--- a/kelpcourse/service/config.py
+++ b/kelpcourse/service/config.py
@@ -54,7 +54,7 @@
             discovery=address(_text(root, "discovery"), "discovery"),
             relay=address(_text(_object(root, "registry"), "address", "registry."), "registry.address"),
             seed=_seed(_text(root, "seed")),
-            known=read_list(_object(root, "known")),
+            known=read_list(_object(root, "known"), _refuse),
             settings=_settings(root),
             sockets=_limit(root, "sockets", SOCKETS),
             memory_mb=_limit(root, "memory_mb", MEMORY_MB),
@@ -99,6 +99,10 @@
     return value
 
 
+def _refuse(error: BadMessage) -> None:
+    raise error
+
+
 def _limit(root: Mapping[str, object], name: str, usual: int) -> int:
     limits = root.get("limits")
     if not isinstance(limits, dict) or name not in limits:
--- a/kelpcourse/wire/discovery.py
+++ b/kelpcourse/wire/discovery.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 
 from kelpcourse.memory.hosts import Member, Phase
@@ -23,11 +23,18 @@
     members: tuple[Member, ...]
 
 
-def read_list(fields: Mapping[str, object]) -> HostsList:
-    members = fields.get("members")
-    if not isinstance(members, list):
+def read_list(fields: Mapping[str, object], on_bad: Callable[[BadMessage], None]) -> HostsList:
+    """A list without the entries that can't be used: one of them must not hold up news of all the others."""
+    entries = fields.get("members")
+    if not isinstance(entries, list):
         raise BadMessage("field 'members' is not a list")
-    return HostsList(whole(fields, "revision"), flag(fields, "complete"), tuple(map(_member, members)))
+    members = []
+    for entry in entries:
+        try:
+            members.append(_member(entry))
+        except BadMessage as error:
+            on_bad(error)
+    return HostsList(whole(fields, "revision"), flag(fields, "complete"), tuple(members))
 
 
 def _member(entry: object) -> Member:
@@ -92,7 +99,7 @@
                     return
                 for line in lines:
                     if line:
-                        self._take(read_list(json_object(line)))
+                        self._take(read_list(json_object(line), self._bad_entry))
                         told = True
                     if told:  # an empty line is a sign of life, but no answer to the call
                         until_us = self._parts.clock() + self._parts.limits.watch_silence_us
@@ -104,7 +111,7 @@
         client = yield from self._ask(HOSTS, until_us)
         try:
             body = yield from client.whole_body(until_us)
-            self._take(read_list(json_object(body)))
+            self._take(read_list(json_object(body), self._bad_entry))
         finally:
             client.close()
 
@@ -122,6 +129,9 @@
             raise
         return client
 
+    def _bad_entry(self, error: BadMessage) -> None:
+        self._parts.bad_message("discovery", error)
+
     def _take(self, told: HostsList) -> None:
         if told.version < self._version and not told.whole:
             raise BadMessage(f"changes of version {told.version} after {self._version}")  # some are missing
--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -6,6 +6,7 @@
 import os
 import subprocess
 import sys
+import tomllib
 from collections.abc import Sequence
 from pathlib import Path
 
@@ -280,7 +281,16 @@
 
 
 def test_the_deploy_file_names_what_is_there() -> None:
-    import tomllib
     deploy = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text(encoding="utf-8"))
     assert all((ROOT / path).is_file() for path in deploy["policy"])
+    assert all((ROOT / path).exists() for path in deploy["node"])
     assert deploy["sim"].endswith("-m kelpcourse.simhost")
+    assert deploy["run"].endswith("-m kelpcourse")
+
+
+def test_what_runs_is_pinned_alike_for_operators_and_developers() -> None:
+    project = tomllib.loads((ROOT / "pyproject.toml").read_text(encoding="utf-8"))["project"]
+    lines = (ROOT / "requirements.txt").read_text(encoding="utf-8").splitlines()
+    pinned = [line for line in lines if line and not line.startswith("#")]
+    assert sorted(project["dependencies"]) == sorted(pinned)
+    assert all("==" in line for line in pinned)
