Refuse strangers in time, and believe reports only from collectors and within range

The spoilt values are nan, -3, 1e+30, , lists, names and missing words; none of them changes the kind of a message. Ruled out: the relay's spoilt answer (one, and it was sent again). At fault: Listener._serve (20 s from the last byte), Listener._report (any zone, any guest), text._count and facade._us (figures up to 1e15), text._heard (a missing avg as 0), stamps that were never asked for. Changed: a stranger has 1.2 s from connecting, hears `refused`, and holds 512 bytes; figures are held against window and deadlines; a collector whose line turns unreadable is closed so that it comes anew.

--- a/kelpcourse/facade.py
+++ b/kelpcourse/facade.py
@@ -56,6 +56,8 @@
         self._timer_number = 0
         self._work = Work()
         self._classes = {cls.name: at for at, cls in enumerate(settings.classes)}
+        self._stamps: dict[int, None] = {}  # of marks that were ordered, oldest first
+        self._longest_us = limits.late_aims * max((cls.deadline_us for cls in settings.classes), default=0)
         self._now = 0
 
     # Reports
@@ -71,6 +73,9 @@
         """A watch or a call for the list failed."""
         self._events.append(HostList(ListKind.UNAVAILABLE, 0, ()))
 
+    def is_zone(self, zone: str) -> bool:
+        return zone in self._settings.zones
+
     def report_joined(self, proxy: int, zone: str, share: float, standing: bool) -> None:
         self._events.append(ProxyJoined(self._proxy(proxy), self._zone(zone), _figure(share), standing))
 
@@ -78,22 +83,33 @@
         self._events.append(ProxyLeft(self._proxy(proxy)))
 
     def report_applied(self, proxy: int, stamp: int, lag_ms: float) -> None:
-        self._events.append(OrdersApplied(self._proxy(proxy), _count(stamp), _us(lag_ms)))
+        if stamp not in self._stamps:
+            raise Unknown(f"mark {stamp} was never asked for")
+        self._events.append(OrdersApplied(self._proxy(proxy), stamp, _us(lag_ms)))
 
     def report_tries(self, host: str, zone: str, tries: int, failed: int, window_ms: float,
-                     mean_ms: float, load: Load) -> None:
-        """What the proxies of a zone met at a host."""
-        if _count(failed) > _count(tries):
+                     mean_ms: float | None, load: Load) -> None:
+        """What the proxies of a zone met at a host; without good answers there is no mean time."""
+        span_us = self._span(window_ms)
+        good = self._within(tries, span_us) - _count(failed)
+        if good < 0:
             raise Unknown(f"{failed} of {tries} tries failed")
-        self._events.append(HostReport(self._host(host), self._zone(zone), tries, failed, _us(window_ms),
-                                       _us(mean_ms), _load(load)))
+        if mean_ms is None and good:
+            raise Unknown(f"no mean time of {good} good answers")
+        mean_us = _us(mean_ms or 0.0)
+        if mean_us > self._longest_us:
+            raise Unknown(f"mean time {mean_ms} is beyond every deadline")
+        self._events.append(HostReport(self._host(host), self._zone(zone), tries, failed, span_us, mean_us,
+                                       _load(load)))
 
     def report_usage(self, proxy: int, kind: str, arrived: int, unanswered: int, window_ms: float) -> None:
         """The requests of a class that reached a proxy."""
         if kind not in self._classes:
-            raise Unknown(f"class {kind!r} is not in the settings")
-        self._events.append(DemandReport(self._proxy(proxy), self._classes[kind], _count(arrived),
-                                         _count(unanswered), _us(window_ms)))
+            raise Unknown(f"class {kind!r:.60} is not in the settings")
+        span_us = self._span(window_ms)
+        self._events.append(DemandReport(self._proxy(proxy), self._classes[kind],
+                                         self._within(arrived, span_us), self._within(unanswered, span_us),
+                                         span_us))
 
     def report_probe(self, host: str, outcome: str, took_us: int, load: Load) -> None:
         self._events.append(ProbeAnswered(self._host(host), ProbeStatus(outcome), took_us, _load(load)))
@@ -161,7 +177,7 @@
     def _host(self, name: str) -> int:
         number = self._hosts.number(name)
         if number is None:
-            raise Unknown(f"host {name!r} was never listed")
+            raise Unknown(f"host {name!r:.60} was never listed")
         return number
 
     def _proxy(self, proxy: int) -> int:
@@ -171,9 +187,21 @@
 
     def _zone(self, zone: str) -> str:
         if zone not in self._settings.zones:
-            raise Unknown(f"zone {zone!r} is not in the settings")
+            raise Unknown(f"zone {zone!r:.60} is not in the settings")
         return zone
 
+    def _span(self, window_ms: float) -> int:
+        """One figure of a spoilt report could outweigh all others for as long as means remember it."""
+        span_us = _us(window_ms)
+        if not 0 < span_us <= self._limits.window_us:
+            raise Unknown(f"window {window_ms} is out of range")
+        return span_us
+
+    def _within(self, count: int, span_us: int) -> int:
+        if _count(count) > self._limits.tries_per_s * max(1.0, span_us / 1e6):
+            raise Unknown(f"{count} in {span_us / 1e6:.3f} s are out of range")
+        return count
+
     # From the module's terms to plain ones
 
     def _take(self, action: Action) -> None:
@@ -230,9 +258,16 @@
             case SetLevel(table, classes, level, retry):
                 return Limit(table, self._names(classes), _rounded(level), retry.value)
             case Checkpoint(number, everyone):
+                self._remember(number)
                 return Mark(number, everyone)
         return None
 
+    def _remember(self, stamp: int) -> None:
+        self._stamps.pop(stamp, None)
+        self._stamps[stamp] = None
+        if len(self._stamps) > self._limits.stamps:
+            del self._stamps[next(iter(self._stamps))]
+
     def _names(self, classes: tuple[int, ...]) -> tuple[str, ...]:
         return tuple(self._settings.classes[at].name for at in classes)
 
--- a/kelpcourse/service/limits.py
+++ b/kelpcourse/service/limits.py
@@ -21,12 +21,19 @@
     line_bytes: int = 1 << 20  # a message
     read_bytes: int = 16 << 10  # a read buffer at first
     held_bytes: int = 32 << 20  # in all read buffers of the listener together
-    stranger_us: int = 20_000_000  # without a message that can be read
-    stranger_bad: int = 100  # messages that can't, from one that did not say that it is a collector
+    stranger_bytes: int = 512  # the read buffer of one that has not joined, and a message of its
+    join_us: int = 1_200_000  # from connecting to a first whole message; a collector says its zone at once
+    pinger_us: int = 20_000_000  # without a ping, from one that does not join
     collector_us: int = 60_000_000  # without a line
-    accept_wait_us: int = 100_000  # after descriptors ran out
+    accept_wait_us: int = 50_000  # after room or descriptors ran out
     bind_wait_us: int = 100_000  # while the address is still in use
 
+    # Reports
+    window_us: int = 60_000_000  # the longest that a report may be gathered over
+    tries_per_s: int = 10_000  # that it may tell of
+    late_aims: float = 2.0  # times the longest deadline that a mean time of good answers may reach
+    stamps: int = 4_096  # marks remembered, of which an answer may tell
+
     # Outgoing connections
     connect_us: int = 150_000
     send_us: int = 1_000_000
--- a/kelpcourse/wire/buffers.py
+++ b/kelpcourse/wire/buffers.py
@@ -20,6 +20,10 @@
         self._end = 0
         self._searched = 0  # no line end stands before this place
 
+    def widen(self, least: int, most: int) -> None:
+        """More room from the next read on: whoever sends here is trusted with it now."""
+        self._least, self._most = least, most
+
     @property
     def held(self) -> int:
         return self._end - self._start
@@ -32,7 +36,7 @@
         """Room for the next read; slices handed out before are no longer valid."""
         if self._start == self._end:
             self._start = self._end = self._searched = 0
-            if len(self._bytes) > self._least:
+            if len(self._bytes) != self._least:
                 self._bytes = bytearray(self._least)
         elif self._end == len(self._bytes):
             self._make_room()
@@ -44,13 +48,17 @@
         if held * 2 > size:
             if size >= self._most:
                 raise TooLong
-            size = min(size * 2, self._most)
+            size = min(max(size * 2, self._least), self._most)
         fresh = bytearray(size)  # slices may still point into the old one, so it is left as it is
         fresh[:held] = memoryview(self._bytes)[self._start:self._end]
         self._bytes = fresh
         self._searched -= self._start
         self._start, self._end = 0, held
 
+    def rest(self) -> memoryview:
+        """What is held of a line that is not whole yet."""
+        return memoryview(self._bytes)[self._start:self._end]
+
     def filled(self, count: int) -> None:
         self._end += count
 
--- a/kelpcourse/wire/listener.py
+++ b/kelpcourse/wire/listener.py
@@ -8,12 +8,15 @@
 import socket
 
 from kelpcourse.facade import Unknown
+from kelpcourse.service.limits import Limits
 from kelpcourse.wire.buffers import Buffer, TooLong
 from kelpcourse.wire.fields import BadMessage
 from kelpcourse.wire.loop import READ, Routine, Task, Wait
 from kelpcourse.wire.parts import Parts
-from kelpcourse.wire.stream import Address, Broken, Stream
-from kelpcourse.wire.text import PONG, Collector, Heard, Message, Ping, Usage, parse
+from kelpcourse.wire.stream import Address, Broken, Silent, Stream
+from kelpcourse.wire.text import (
+    PONG, REFUSED, Collector, Heard, Message, Ping, Unreadable, Usage, check_beginning, parse,
+)
 
 
 BACKLOG = 128  # connections that the system holds until they are taken
@@ -25,11 +28,28 @@
     def __init__(self, stream: Stream, buffer: Buffer, now_us: int) -> None:
         self.stream = stream
         self.buffer = buffer
-        self.zone = ""  # empty: a stranger so far
-        self.heard_us = now_us
-        self.bad = 0  # messages that could not be used
+        self.zone = ""  # of a collector; empty: a stranger so far
+        self.came_us = now_us
+        self.heard_us = now_us  # when a message could last be read
+        self.half_us: int | None = None  # since when a stranger's message is not whole
+        self.asked = False  # for a sign of life
         self.task: Task | None = None
 
+    def until_us(self, limits: Limits) -> int:
+        """When it is let go. A stranger's time runs from its connecting, or from the start of a message,
+        and never from its last byte: else a slow drip would hold a place for good."""
+        if self.zone:
+            return self.heard_us + limits.collector_us
+        if not self.asked:
+            return self.came_us + limits.join_us
+        if self.half_us is not None:
+            return self.half_us + limits.join_us
+        return self.heard_us + limits.pinger_us
+
+
+class Stranger(Broken):
+    """Someone who did not join and has no business here: told so, and let go."""
+
 
 def listen(address: Address) -> socket.socket:
     sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
@@ -86,6 +106,9 @@
                 self._make_way(sock)
                 return False
             self._welcome(Stream(connection))
+            while len(self._guests) > self._parts.limits.connections:
+                if not self._shed_quietest():
+                    return False
 
     def _make_way(self, sock: socket.socket) -> None:
         """The quietest guest goes, so that silent strangers can't shut a collector out. Without guests nobody
@@ -103,49 +126,74 @@
             self._spare = os.open(os.devnull, os.O_RDONLY)
 
     def _welcome(self, stream: Stream) -> None:
-        if len(self._guests) >= self._parts.limits.connections:
-            self._shed_quietest()
         limits = self._parts.limits
-        guest = Guest(stream, Buffer(limits.read_bytes, limits.line_bytes), self._parts.clock())
+        with contextlib.suppress(OSError):  # nothing but pongs is ever written: the system need not hold many
+            stream.sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, limits.stranger_bytes)
+        buffer = Buffer(limits.stranger_bytes, limits.stranger_bytes)
+        guest = Guest(stream, buffer, self._parts.clock())
         self._guests[guest] = None
         self._parts.counters.add("connections")
         guest.task = self._parts.loop.start("guest", self._serve(guest))
 
-    def _shed_quietest(self) -> None:
-        """Strangers go first, then whoever said nothing for longest."""
-        quietest = min(self._guests, key=lambda g: (bool(g.zone), g.heard_us))
+    def _shed_quietest(self) -> bool:
+        """Strangers go first, then whoever said nothing for longest. One that has just come is waited for: it
+        may be a collector in a crowd, whose first line is on its way. Tells whether there is room again."""
+        quietest = min(self._guests, key=lambda g: (bool(g.zone), g.asked, g.heard_us))
+        if self._parts.clock() - quietest.came_us < self._parts.limits.accept_wait_us:
+            return False
         self._parts.counters.add("connections_shed")
         self._parts.log.event("connection_shed", zone=quietest.zone, connections=len(self._guests))
         if quietest.task is not None:
             self._parts.loop.stop(quietest.task)
+        return True
 
     def _serve(self, guest: Guest) -> Routine:
-        limits = self._parts.limits
         try:
             while True:
-                limit_us = limits.collector_us if guest.zone else limits.stranger_us
                 room = guest.buffer.space()
-                count = yield from guest.stream.recv_into(room, guest.heard_us + limit_us)
+                count = yield from guest.stream.recv_into(room, guest.until_us(self._parts.limits))
                 if not count:
                     return
                 self._parts.counters.add("bytes_in", count)
                 guest.buffer.filled(count)
-                for line in guest.buffer.lines():
-                    self._take(guest, line)
-                if not guest.zone and guest.bad > limits.stranger_bad:
-                    raise Broken("a stranger that makes no sense")
+                self._take_lines(guest)
                 if self._over_memory(guest):
                     raise Broken("read buffers are over their limit together")
                 if count == len(room):
                     yield Wait(0)  # one that sends without end must not keep the others waiting
-        except TooLong:
-            self._parts.bad_message("guest", BadMessage("a line over its limit"))
+        except (Stranger, Unreadable, TooLong, Silent) as error:
+            self._turn_away(guest, error)
         except Broken as error:
             self._parts.counters.add("connections_broken")
             self._parts.log.event("connection_ended", zone=guest.zone, reason=str(error))
         finally:
             self._end(guest)
 
+    def _take_lines(self, guest: Guest) -> None:
+        for line in guest.buffer.lines():
+            self._take(guest, line)
+        rest = guest.buffer.rest()
+        check_beginning(rest)
+        if guest.zone:
+            return
+        now_us = self._parts.clock()
+        guest.half_us = (guest.half_us or now_us) if rest else None
+        if now_us > guest.until_us(self._parts.limits):  # bytes that keep coming hide the time limit
+            raise Stranger("its time is over")
+
+    def _turn_away(self, guest: Guest, error: Exception) -> None:
+        """A stranger hears that it is refused. A collector does not: nothing is ever written to it, and once
+        its line can't be read, only coming anew helps it."""
+        reason = str(error) or "a message over its limit"
+        if guest.zone:
+            self._parts.counters.add("collectors_ended")
+            self._parts.log.event("collector_ended", zone=guest.zone, reason=reason)
+            return
+        self._parts.counters.add("strangers_refused")
+        self._parts.log.event("stranger_refused", reason=reason, asked=guest.asked)
+        with contextlib.suppress(OSError):
+            guest.stream.sock.send(REFUSED)
+
     def _over_memory(self, guest: Guest) -> bool:
         """Half lines of up to a limit each are fine on a few connections, not on hundreds: whoever grows a
         buffer past what all may hold together is shed."""
@@ -158,26 +206,48 @@
         guest.stream.close()
 
     def _take(self, guest: Guest, line: memoryview) -> None:
+        """A collector's message that can't be used is skipped, as its neighbours are good; what is no message
+        at all ends its connection. From strangers nothing but a ping or a joining is taken."""
         try:
             message = parse(line)
-            if message is not None:
+            if guest.zone:
                 self._report(guest, message)
-                guest.heard_us = self._parts.clock()
+            else:
+                self._meet(guest, message)
+            guest.heard_us = self._parts.clock()
+        except Unreadable:
+            raise
         except (BadMessage, Unknown) as error:
-            guest.bad += 1
+            if not guest.zone:
+                raise Stranger(str(error)) from None
             self._parts.bad_message("guest", error)
 
-    def _report(self, guest: Guest, message: Message) -> None:
+    def _meet(self, guest: Guest, message: Message | None) -> None:
+        match message:
+            case Ping():
+                guest.asked = True
+                self._pong(guest)
+            case Collector(zone) if self._parts.facade.is_zone(zone):
+                guest.zone = zone
+                guest.buffer.widen(self._parts.limits.read_bytes, self._parts.limits.line_bytes)
+                self._parts.log.event("collector", zone=zone)
+            case Collector(zone):
+                raise Stranger(f"no zone {zone!r:.60}")
+            case _:
+                raise Stranger("a message before a joining")
+
+    def _report(self, guest: Guest, message: Message | None) -> None:
         match message:
             case Heard(zone, host, tries, failed, mean_ms, window_ms, load):
+                if zone != guest.zone:
+                    raise BadMessage(f"zone {zone!r:.60} through the collector of {guest.zone!r:.60}")
                 self._parts.counters.add("heard")
                 self._parts.facade.report_tries(host, zone, tries, failed, window_ms, mean_ms, load)
             case Usage(proxy, kind, arrived, unanswered, window_ms):
                 self._parts.counters.add("usage")
                 self._parts.facade.report_usage(proxy, kind, arrived, unanswered, window_ms)
-            case Collector(zone):
-                guest.zone = zone
-                self._parts.log.event("collector", zone=zone)
+            case Collector(zone) if zone != guest.zone:
+                raise BadMessage(f"the collector of {guest.zone!r:.60} is not that of {zone!r:.60}")
             case Ping():
                 self._pong(guest)
 
--- a/kelpcourse/wire/text.py
+++ b/kelpcourse/wire/text.py
@@ -7,6 +7,12 @@
 from kelpcourse.wire.fields import BadMessage
 
 PONG = b"pong\r\n"
+REFUSED = b"refused\r\n"
+KIND_LONGEST = 32
+
+
+class Unreadable(BadMessage):
+    """No message at all: where one of these stands, what follows can't be trusted to begin a message."""
 
 
 @dataclass(frozen=True)
@@ -25,7 +31,7 @@
     host: str
     tries: int
     failed: int
-    mean_ms: float
+    mean_ms: float | None  # None: not told
     window_ms: float
     load: tuple[tuple[str, float], ...]
 
@@ -45,25 +51,53 @@
 def parse(line: memoryview) -> Message | None:
     """The message of a line, a slice of the read buffer; nothing of it is kept. None: an empty line."""
     try:
-        kind, *parts = str(line, "utf-8").split() or [""]
+        text = str(line, "utf-8")
     except UnicodeDecodeError:
-        raise BadMessage("not UTF-8") from None
-    if kind == "heard":
-        return _heard(_words(parts))
-    if kind == "usage":
-        return _usage(_words(parts))
-    if kind == "ping":
-        return Ping()
-    if kind == "collector":
-        return Collector(_word(_words(parts), "az"))
+        raise Unreadable("not UTF-8") from None
+    if not text.isprintable():
+        raise Unreadable("not text")
+    kind, *parts = text.split() or [""]
     if not kind:
         return None
+    if not is_kind(kind):
+        raise Unreadable(f"no kind {kind!r:.60}")
+    words = _words(parts)
+    match kind:
+        case "heard":
+            return _heard(words)
+        case "usage":
+            return _usage(words)
+        case "ping":
+            return Ping()
+        case "collector":
+            return Collector(_word(words, "az"))
     raise BadMessage(f"unknown kind {kind!r:.60}")
 
 
+def is_kind(word: str) -> bool:
+    """Whether a message may begin so, known here or not."""
+    letters = word.replace("_", "")
+    return len(word) <= KIND_LONGEST and letters.isascii() and letters.isalpha() and letters.islower()
+
+
+def check_beginning(rest: memoryview) -> None:
+    """What has come of a line so far. One that turned unreadable may never end, so it is not waited for."""
+    if not rest:
+        return
+    kind, space, _ = bytes(rest[:KIND_LONGEST + 1]).partition(b" ")
+    word = kind if space else kind.rstrip(b"\r")
+    if word and not is_kind(word.decode("latin-1")):
+        raise Unreadable(f"no kind {word.decode('latin-1')!r:.60}")
+    try:
+        str(rest, "utf-8")
+    except UnicodeDecodeError as error:
+        if error.reason != "unexpected end of data":
+            raise Unreadable("not UTF-8") from None
+
+
 def _heard(words: dict[str, str]) -> Heard:
     return Heard(_word(words, "az"), _word(words, "host"), _count(words, "n"), _count(words, "bad"),
-                 _number(words, "avg") if "avg" in words else 0.0, _number(words, "window"),
+                 _number(words, "avg") if "avg" in words else None, _number(words, "window"),
                  _load(words.get("report", "")))
 
 
@@ -78,6 +112,8 @@
         name, sep, value = part.partition("=")
         if not sep or not name:
             raise BadMessage(f"word {part!r:.60} is not name=value")
+        if name in words:
+            raise BadMessage(f"word '{name:.60}' stands twice")
         words[name] = value
     return words
 
