Follow relay and discovery to new addresses on SIGHUP, and lose no order by a spoilt answer

At fault besides: Calls, NewsReader and Discovery each took their address once. Changed: service/ reads the file again and hands on addresses. Calls dial before they close; two streams of news open beside the old ones, which end themselves once one is in step; the watch goes on at the old address until the new one has told. What one alone has told by then is news. A spoilt answer that names ValidationError or too few orders dropped orders: a call is given up after eight such answers, an order after two refusals in a row.

--- a/kelpcourse/memory/outbox.py
+++ b/kelpcourse/memory/outbox.py
@@ -68,6 +68,9 @@
         if len(self._batches) > 1:
             self._merge()
 
+    def first(self) -> Order:
+        return self._batches[0][0]
+
     def drop_first(self) -> Order:
         order = self._batches[0].pop(0)
         if not self._batches[0]:
--- a/kelpcourse/service/config.py
+++ b/kelpcourse/service/config.py
@@ -16,6 +16,8 @@
 from kelpcourse.wire.stream import Address
 
 HOLDS = {"NODE_NAME": "name", "NODE_LISTEN": "listen", "NODE_DISCOVERY": "discovery"}
+MOVES = ("discovery", "relay")  # what a reload follows; a process's variables can't follow it
+WAITS = ("name", "listen", "settings", "sockets", "memory_mb")  # what waits for a restart
 
 SOCKETS = 1024  # where the configuration does not tell
 MEMORY_MB = 192
@@ -38,6 +40,15 @@
     memory_mb: int
 
 
+def reread_config(environment: Mapping[str, str]) -> Config:
+    """The file as it is now. Discovery may have moved since the variable was set."""
+    return read_config({name: value for name, value in environment.items() if name != "NODE_DISCOVERY"})
+
+
+def differing(old: Config, new: Config, fields: tuple[str, ...]) -> list[str]:
+    return [field for field in fields if getattr(old, field) != getattr(new, field)]
+
+
 def read_config(environment: Mapping[str, str]) -> Config:
     path = environment.get("NODE_CONFIG", "")
     if not path:
--- a/kelpcourse/service/director.py
+++ b/kelpcourse/service/director.py
@@ -9,13 +9,16 @@
 import sys
 import traceback
 from collections.abc import Callable, Mapping
+from dataclasses import replace
 from functools import partial
 
 from kelpcourse.facade import Facade, Work
 from kelpcourse.memory.counters import Counters
 from kelpcourse.memory.outbox import Outbox
 from kelpcourse.service.clock import Clock
-from kelpcourse.service.config import BadConfig, Config, read_config
+from kelpcourse.service.config import (
+    MOVES, WAITS, BadConfig, Config, differing, read_config, reread_config,
+)
 from kelpcourse.service.limits import Limits
 from kelpcourse.service.logs import Log
 from kelpcourse.service.signals import signal_routine
@@ -31,8 +34,9 @@
 
 
 class Service:
-    def __init__(self, config: Config, limits: Limits) -> None:
+    def __init__(self, config: Config, limits: Limits, environment: Mapping[str, str]) -> None:
         clock = Clock()
+        self._environment = environment
         self._limits = limits
         self._counters = Counters()
         self._log = Log(clock, limits, self._counters, config.name)
@@ -44,6 +48,8 @@
         self._waiting = Signal()
         self._discovery = Discovery(self._parts, config.discovery, config.known.version)
         self._probes = Probes(self._parts)
+        self._calls = Calls(self._parts, config.relay, self._outbox, self._waiting)
+        self._news = NewsReader(self._parts, config.relay, self._outbox, self._waiting)
         self._stop = 0
 
     def run(self) -> int:
@@ -52,10 +58,8 @@
         self._facade.report_known(self._config.known.members, self._config.known.version)
         self._loop.start("signals", signal_routine(self._on_signal))
         self._step(self._facade.start)
-        self._keep("calls", Calls(self._parts, self._config.relay, self._outbox, self._waiting).run)
-        news = NewsReader(self._parts, self._config.relay, self._outbox, self._waiting)
-        for stream in range(self._limits.news_streams):
-            self._keep(f"news {stream}", partial(news.run, stream))
+        self._keep("calls", self._calls.run)
+        self._follow_news()
         self._keep("listener", Listener(self._parts, self._config.listen).run)
         while not self._stop:
             self._loop.turn(self._facade.due_us())
@@ -63,14 +67,38 @@
         self._log.always("stop", signal=self._stop, counters=self._counters.snapshot())
         return 0
 
+    def _follow_news(self) -> None:
+        for stream in self._news.streams():
+            self._keep(f"news {stream}", partial(self._news.run, stream))
+
+    def _reload(self) -> None:
+        """Follows the file to new addresses. Everything else lives on: listener, module, proxies, orders."""
+        try:
+            new = reread_config(self._environment)
+        except BadConfig as error:
+            self._log.always("reload_failed", reason=str(error))
+            return
+        moved, waits = differing(self._config, new, MOVES), differing(self._config, new, WAITS)
+        self._config = replace(self._config, discovery=new.discovery, relay=new.relay)
+        self._counters.add("reloads")
+        self._log.always("reload", moved=moved, wait_for_restart=waits)
+        if "relay" in moved:
+            self._calls.move(new.relay)
+            self._news.move(new.relay)
+            self._follow_news()
+        if "discovery" in moved:
+            self._discovery.move(new.discovery)
+
     def _keep(self, name: str, make: Callable[[], Routine]) -> None:
-        """Runs a routine that the director can't do without; one that ends by a defect starts again."""
+        """Runs a routine that the director can't do without: one that ends by a defect starts again, one that
+        ends by itself has been replaced."""
         self._loop.start(name, self._kept(name, make))
 
     def _kept(self, name: str, make: Callable[[], Routine]) -> Routine:
         while True:
             try:
                 yield from make()
+                return
             except Exception as error:  # told in full, so no defect hides; but proxies must not pay for it
                 self._defect(name, error)
             yield Wait(self._loop.clock() + self._limits.restart_us)
@@ -107,6 +135,8 @@
     def _on_signal(self, number: int) -> None:
         if number == signal.SIGUSR1:
             self._log.always("counters", counters=self._counters.snapshot())
+        elif number == signal.SIGHUP:
+            self._reload()
         else:
             self._stop = number
 
@@ -125,7 +155,7 @@
         return BAD_CONFIG
     os.set_blocking(sys.stdout.fileno(), False)
     granted = resource.getrlimit(resource.RLIMIT_NOFILE)[0]
-    return Service(config, Limits().within(min(config.sockets, granted), config.memory_mb)).run()
+    return Service(config, Limits().within(min(config.sockets, granted), config.memory_mb), environment).run()
 
 
 def check_address(address: Address) -> None:
--- a/kelpcourse/service/limits.py
+++ b/kelpcourse/service/limits.py
@@ -51,6 +51,8 @@
     news_settle_us: int = 1_200_000  # a snapshot is whole by then, sign of life or not
     news_streams: int = 2  # at once, so that one may break without a gap
     news_ahead: int = 2_000  # lines by which one may be ahead of another
+    news_cover_us: int = 300_000  # by which a stream outlives another's snapshot to have told all before it
+    invalid_most: int = 8  # times in a row that a call is taken for none before it is given up
     orders: int = 20_000  # not yet taken
     marks: int = 64  # remembered of those that went out as part of a later one
 
--- a/kelpcourse/service/signals.py
+++ b/kelpcourse/service/signals.py
@@ -10,12 +10,12 @@
 
 
 def signal_routine(on_signal: Callable[[int], None]) -> Routine:
-    """Hands on SIGTERM, SIGINT and SIGUSR1 when the loop is between two routines."""
+    """Hands on SIGTERM, SIGINT, SIGUSR1 and SIGHUP when the loop is between two routines."""
     ours, theirs = socket.socketpair()
     ours.setblocking(False)
     theirs.setblocking(False)
     signal.set_wakeup_fd(theirs.fileno(), warn_on_full_buffer=False)
-    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGUSR1):
+    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGUSR1, signal.SIGHUP):
         signal.signal(number, lambda *_: None)
     return _read(ours, theirs, on_signal)
 
--- a/kelpcourse/wire/discovery.py
+++ b/kelpcourse/wire/discovery.py
@@ -8,8 +8,8 @@
 from kelpcourse.memory.hosts import Member, Phase
 from kelpcourse.wire.fields import BadMessage, address, flag, json_object, number, text, whole
 from kelpcourse.wire.http import HttpClient, dial
-from kelpcourse.wire.loop import Routine, Task
-from kelpcourse.wire.parts import Parts
+from kelpcourse.wire.loop import Routine, Task, Wait
+from kelpcourse.wire.parts import Backoff, Parts
 from kelpcourse.wire.stream import Act, Address, Broken
 
 HOSTS = "/discovery/hosts"
@@ -49,6 +49,14 @@
                   up_since_ms)
 
 
+class Watch:
+    """A watch of the list, as long as it is wanted."""
+
+    def __init__(self, address: Address) -> None:
+        self.address = address
+        self.task: Task | None = None
+
+
 class Discovery:
     """Makes the calls that the module asks for; each is answered to it exactly once."""
 
@@ -56,26 +64,64 @@
         self._parts = parts
         self._address = address
         self._version = version
-        self._watch: Task | None = None
+        self._watch: Watch | None = None
+        self._former: Watch | None = None  # at the address before, until the watch has told anything
 
     def watch(self, on: bool) -> None:
         """Starts the watch anew or ends it."""
-        if self._watch is not None:
-            self._parts.loop.stop(self._watch)
-            self._watch = None
+        self._stop(self._watch)
+        self._watch = None
         if on:
-            self._watch = self._parts.loop.start("watch", self._run_watch())
+            self._start()
+        else:
+            self._end_former()
 
     def fetch(self) -> None:
         self._parts.loop.start("fetch", self._run_fetch())
 
-    def _run_watch(self) -> Routine:
+    def move(self, address: Address) -> None:
+        """Calls go to another address from now on. A watch goes on where it is until one there has told what
+        changed meanwhile, so the module learns of no gap that there is not."""
+        self._address = address
+        if self._watch is None:
+            return
+        if self._former is None:
+            self._former = self._watch
+        else:
+            self._stop(self._watch)
+        self._start()
+
+    def _start(self) -> None:
+        self._watch = watch = Watch(self._address)
+        watch.task = self._parts.loop.start("watch", self._run_watch(watch))
+
+    def _stop(self, watch: Watch | None) -> None:
+        if watch is not None and watch.task is not None:
+            self._parts.loop.stop(watch.task)
+
+    def _end_former(self) -> None:
+        former, self._former = self._former, None
+        self._stop(former)
+
+    def _run_watch(self, watch: Watch) -> Routine:
+        backoff = Backoff(self._parts.limits)
+        reason = yield from self._until_lost(watch)
+        while watch is self._watch and self._former is not None:
+            self._parts.log.event("watch_tried_again", reason=reason)
+            yield Wait(self._parts.clock() + backoff.next_us())
+            reason = yield from self._until_lost(watch)
+        if watch is self._former:
+            self._former = None
+            return
+        self._watch = None
+        self._lost("watch", reason)
+
+    def _until_lost(self, watch: Watch) -> Act[str]:
         try:
-            yield from self._follow()
-            reason = "ended"
+            yield from self._follow(watch)
         except (Broken, BadMessage) as error:
-            reason = str(error)
-        self._lost("watch", reason)
+            return str(error)
+        return "ended"
 
     def _run_fetch(self) -> Routine:
         try:
@@ -88,9 +134,10 @@
         self._parts.log.event("list_unavailable", call=call, reason=reason, version=self._version)
         self._parts.facade.report_list_lost()
 
-    def _follow(self) -> Act[None]:
+    def _follow(self, watch: Watch) -> Act[None]:
         until_us = self._parts.clock() + self._parts.limits.list_us
-        client = yield from self._ask(f"{HOSTS}?stream=1&index={self._version}", until_us)
+        target = f"{HOSTS}?stream=1&index={self._version}"
+        client = yield from self._ask(watch.address, target, until_us)
         try:
             told = False
             while True:
@@ -101,6 +148,8 @@
                     if line:
                         self._take(read_list(json_object(line), self._bad_entry))
                         told = True
+                        if watch is self._watch:
+                            self._end_former()
                     if told:  # an empty line is a sign of life, but no answer to the call
                         until_us = self._parts.clock() + self._parts.limits.watch_silence_us
         finally:
@@ -108,17 +157,17 @@
 
     def _fetch_once(self) -> Act[None]:
         until_us = self._parts.clock() + self._parts.limits.list_us
-        client = yield from self._ask(HOSTS, until_us)
+        client = yield from self._ask(self._address, HOSTS, until_us)
         try:
             body = yield from client.whole_body(until_us)
             self._take(read_list(json_object(body), self._bad_entry))
         finally:
             client.close()
 
-    def _ask(self, target: str, until_us: int) -> Act[HttpClient]:
+    def _ask(self, address: Address, target: str, until_us: int) -> Act[HttpClient]:
         self._parts.counters.add("discovery_calls")
         connect_us = self._parts.clock() + self._parts.limits.connect_us
-        client = yield from dial(self._address, self._parts.limits, connect_us)
+        client = yield from dial(address, self._parts.limits, connect_us)
         try:
             yield from client.request("GET", target, None)
             status = yield from client.status(until_us)
--- a/kelpcourse/wire/relay.py
+++ b/kelpcourse/wire/relay.py
@@ -120,9 +120,18 @@
         self._outbox = outbox
         self._waiting = waiting
         self._client: HttpClient | None = None
+        self._peer = address  # where that connection leads
         self._sent = 0  # orders of the call being made
+        self._invalid = 0  # answers in a row that took a call for none
+        self._doubted: Order | None = None  # refused once, which a spoilt answer may have made up
         self._backoff = Backoff(parts.limits)
 
+    def move(self, address: Address) -> None:
+        """Calls go to another address from now on; the one under way is settled where it is."""
+        self._address = address
+        self._backoff.reset()
+        self._waiting.raise_()
+
     def run(self) -> Routine:
         try:
             while True:
@@ -143,7 +152,7 @@
                 yield Wait(signal=self._waiting)
                 continue
             woken = yield Wait(until_us, self._client.fd, READ, self._waiting)
-            if woken is not Woken.SIGNALLED:
+            if woken is not Woken.SIGNALLED or self._peer != self._address:
                 self._close()
         self._waiting.lower()
 
@@ -152,16 +161,23 @@
         try:
             yield from self._call()
             self._backoff.reset()
+            self._invalid = 0
             return 0
         except Throttled:
             self._outbox.unsure()
             self._parts.counters.add("relay_throttled")
             self._parts.log.event("relay_throttled", waiting=len(self._outbox))
             return self._parts.limits.throttled_us
-        except Invalid as error:  # sending it again would hold up all later orders for ever
+        except Invalid as error:  # said again and again it holds: all later orders must not wait for ever
+            self._invalid += 1
+            given_up = self._invalid >= self._parts.limits.invalid_most
             self._parts.counters.add("relay_calls_invalid")
-            self._parts.log.event("call_invalid", reason=str(error), orders=self._sent)
-            self._outbox.taken(self._sent)
+            self._parts.log.event("call_invalid", reason=str(error), orders=self._sent, given_up=given_up)
+            if given_up:
+                self._outbox.taken(self._sent)
+                self._invalid = 0
+            else:
+                self._outbox.unsure()
             self._close()
             return self._backoff.next_us()
         except (Broken, BadMessage) as error:
@@ -193,20 +209,41 @@
     def _settle(self, taken: int, sent: int) -> None:
         self._outbox.taken(taken)
         self._parts.counters.add("relay_orders_taken", taken)
-        if taken < sent:  # the relay stops at an order it can't use: the rest must not wait behind it
-            order = self._outbox.drop_first()
-            self._parts.counters.add("relay_orders_refused")
-            self._parts.log.event("order_refused", order=encode(order).decode())
+        if taken == sent:
+            return
+        order = self._outbox.first()
+        if order != self._doubted:
+            self._doubted = order
+            return
+        # The relay stops at an order it can't use: refused twice, the rest must not wait behind it.
+        self._outbox.drop_first()
+        self._doubted = None
+        self._parts.counters.add("relay_orders_refused")
+        self._parts.log.event("order_refused", order=encode(order).decode())
 
     def _connected(self) -> Act[HttpClient]:
         if self._client is not None and self._client.gone():
             self._close()
+        if self._client is None or self._peer != self._address:
+            yield from self._connect()
         if self._client is None:
-            until_us = self._parts.clock() + self._parts.limits.connect_us
-            self._client = yield from dial(self._address, self._parts.limits, until_us)
-            self._parts.counters.add("relay_connections")
+            raise Broken("not connected")
         return self._client
 
+    def _connect(self) -> Act[None]:
+        """Makes before it breaks: while a new address does not answer, the old connection serves."""
+        address = self._address
+        until_us = self._parts.clock() + self._parts.limits.connect_us
+        try:
+            client = yield from dial(address, self._parts.limits, until_us)
+        except Broken:
+            if self._client is None:
+                raise
+            return
+        self._close()
+        self._client, self._peer = client, address
+        self._parts.counters.add("relay_connections")
+
     def _close(self) -> None:
         if self._client is not None:
             self._client.close()
@@ -225,13 +262,23 @@
         self._address = address
         self._outbox = outbox
         self._waiting = waiting
-        self._proxies = Proxies(parts.limits.news_ahead)
+        self._proxies = Proxies(parts.limits.news_ahead, parts.limits.news_cover_us)
+        self._first = 0  # stream at the address of now; those before it are on their way out
+
+    def streams(self) -> range:
+        return range(self._first, self._first + self._parts.limits.news_streams)
+
+    def move(self, address: Address) -> None:
+        """Streams are to run at another address. Those that are open tell on until one there is in step."""
+        self._first += self._parts.limits.news_streams
+        self._address = address
 
     def run(self, stream: int) -> Routine:
         backoff = Backoff(self._parts.limits)
-        while True:
+        address = self._address
+        while stream >= self._first:
             try:
-                yield from self._follow(stream, backoff)
+                yield from self._follow(stream, address, backoff)
                 reason = "ended"
             except (Broken, NotJson) as error:
                 reason = str(error)
@@ -242,15 +289,19 @@
                                   joined=len(self._proxies))
             yield Wait(self._parts.clock() + backoff.next_us())
 
-    def _follow(self, stream: int, backoff: Backoff) -> Act[None]:
+    def _replaced(self, stream: int) -> bool:
+        return stream < self._first and self._proxies.in_step(self.streams())
+
+    def _follow(self, stream: int, address: Address, backoff: Backoff) -> Act[None]:
         limits = self._parts.limits
-        client = yield from dial(self._address, limits, self._parts.clock() + limits.connect_us)
+        client = yield from dial(address, limits, self._parts.clock() + limits.connect_us)
         try:
             yield from client.request("GET", EVENTS, None)
             status = yield from client.status(self._parts.clock() + limits.news_silence_us)
             if status != 200:
                 raise Broken(f"answered {status}")
-            self._proxies.opened(stream, self._parts.clock() + limits.news_settle_us)
+            now_us = self._parts.clock()
+            self._proxies.opened(stream, now_us, now_us + limits.news_settle_us)
             self._parts.counters.add("relay_news_streams")
             self._parts.log.event("news_open", stream=stream)
             self._waiting.raise_()  # the relay is there: orders that wait need not wait for their next try
@@ -263,6 +314,8 @@
                     self._take(stream, line)
                     heard_us = self._parts.clock()
                     backoff.reset()
+                if self._replaced(stream):
+                    raise Broken("moved")
         finally:
             client.close()
 
--- a/tests/test_director.py
+++ b/tests/test_director.py
@@ -10,6 +10,7 @@
 import sys
 import time
 from collections.abc import Callable, Iterator
+from functools import partial
 from pathlib import Path
 from typing import Any
 
@@ -99,6 +100,27 @@
     def ordered(self, **fields: object) -> bool:
         return any(fields.items() <= order.items() for order in self.orders)
 
+    def move(self, **changes: object) -> None:
+        """Relay and discovery go on at other addresses, which the file tells."""
+        self.relay = StandIn(self.loop, self._serve_relay)
+        self.discovery = StandIn(self.loop, self._serve_discovery)
+        self.config(**changes)
+        self.hang_up()
+
+    def hang_up(self) -> None:
+        assert self.process is not None
+        os.kill(self.process.pid, signal.SIGHUP)
+
+    def logged(self, event: str) -> dict[str, Any]:
+        """The next line of an event."""
+        assert self.process is not None
+        assert self.process.stdout is not None
+        while True:
+            assert select.select([self.process.stdout], [], [], PATIENCE_S)[0]
+            line: dict[str, Any] = orjson.loads(self.process.stdout.readline())
+            if line["event"] == event:
+                return line
+
     def close(self) -> None:
         if self.process is not None:
             self.process.kill()
@@ -197,6 +219,55 @@
         stranger.close()
 
 
+def test_a_new_configuration_moves_it_and_binds_nobody_anew(world: World) -> None:
+    world.start()
+    world.until(world.ping)
+    world.news += [joined(0).replace(b"east", b"room-a")]
+    world.until(lambda: world.ordered(verb="USE", sidecar=0))
+    for version in (42, 43):
+        old = (world.relay, world.discovery)
+        world.move()
+        world.until(lambda: world.relay.connections >= 2 and world.discovery.connections)
+        for stand_in in old:
+            stand_in.close()
+        drains = HOSTS[version - 41]
+        world.lists.append(listed(version, {**drains, "phase": "draining"}, whole=False))
+        world.until(partial(world.ordered, verb="OUT", host=drains["id"]))
+    world.news += [joined(1).replace(b"east", b"room-b")]
+    world.until(lambda: world.ordered(verb="USE", sidecar=1))
+    bound = [o["cluster"] for o in world.orders if o["verb"] == "USE" and o["sidecar"] == 0]
+    assert len(bound) == len(set(bound))
+    assert world.ping()
+
+
+def test_a_file_that_can_not_be_used_changes_nothing(world: World) -> None:
+    world.start()
+    world.until(world.ping)
+    unusable: list[tuple[dict[str, object], str]] = [
+        ({"seed": "xyz"}, "field 'seed' is not hex digits: 'xyz'"),
+        ({"registry": {}}, "field 'registry.address' is missing or not a text")]
+    for changes, reason in unusable:
+        world.config(**changes)
+        world.hang_up()
+        assert world.logged("reload_failed")["reason"] == reason
+    world.path.write_bytes(b'{"name": ')
+    world.hang_up()
+    assert "not JSON" in world.logged("reload_failed")["reason"]
+    world.news += [joined(0).replace(b"east", b"room-a")]
+    world.until(lambda: world.ordered(verb="USE", sidecar=0))
+
+
+def test_what_a_reload_does_not_follow_is_named(world: World) -> None:
+    world.start()
+    world.until(world.ping)
+    world.config(limits={"memory_mb": 33, "sockets": 512})
+    world.hang_up()
+    line = world.logged("reload")
+    assert (line["moved"], line["wait_for_restart"]) == ([], ["sockets", "memory_mb"])
+    world.move()
+    assert world.logged("reload")["moved"] == ["discovery", "relay"]
+
+
 def test_a_bad_configuration_is_one_plain_message(world: World) -> None:
     for changes, message in [
             ({"seed": "xyz"}, b"kelpcourse: field 'seed' is not hex digits: 'xyz'\n"),
--- a/tests/test_discovery_client.py
+++ b/tests/test_discovery_client.py
@@ -212,3 +212,55 @@
     work = bench.facade.pick()
     assert work.probes == [("a", ("127.0.0.2", 7))]
     assert work.watch is False
+
+
+def moved(bench: Bench, old: Service, *new: Callable[[Caller], Act[None]]) -> tuple[Discovery, Service]:
+    discovery = start(bench, old)
+    discovery.watch(True)
+    bench.until(lambda: lists(bench))
+    other = Service(bench, *new)
+    discovery.move(other.stand_in.address)
+    return discovery, other
+
+
+def test_a_watch_moves_without_a_gap(bench: Bench) -> None:
+    old = Service(bench, stream(bench, listed(42, entry("h1")), then_silent=False))
+    _, new = moved(bench, old, stream(bench, listed(43, entry("h1"), whole=False), then_silent=False))
+    bench.until(lambda: len(lists(bench)) == 2)
+    bench.pass_us(2 * QUICK.watch_silence_us)
+    assert [told.kind for told in lists(bench)] == [ListKind.FULL, ListKind.CHANGES]
+    assert new.targets == ["/discovery/hosts?stream=1&index=42"]
+    assert bench.counters["discovery_lost"] == 0
+
+
+def test_the_old_watch_serves_until_the_new_one_tells(bench: Bench) -> None:
+    """Nothing is reported lost while the new address fails at first."""
+    old = Service(bench, stream(bench, listed(42, entry("h1")), then_silent=False))
+    _, new = moved(bench, old, refuse, reset,
+                   stream(bench, listed(43, entry("h2"), whole=False), then_silent=False))
+    bench.until(lambda: len(lists(bench)) == 2)
+    assert len(new.targets) == 3
+    assert [told.version for told in lists(bench)] == [42, 43]
+
+
+def test_with_the_old_watch_ended_and_the_new_address_down_it_is_lost_once(bench: Bench) -> None:
+    old = Service(bench, stream(bench, listed(42, entry("h1"))))
+    discovery, _ = moved(bench, old, *[refuse] * 50)
+    bench.until(lambda: len(lists(bench)) == 2)
+    assert lists(bench)[1].kind is ListKind.UNAVAILABLE
+    back = Service(bench, stream(bench, listed(44, entry("h1"))))
+    discovery.move(back.stand_in.address)
+    discovery.watch(True)
+    bench.until(lambda: len(lists(bench)) == 3)
+    assert lists(bench)[2].version == 44
+
+
+def test_moves_close_together_end_at_the_newest_address(bench: Bench) -> None:
+    old = Service(bench, stream(bench, listed(42, entry("h1")), then_silent=False))
+    discovery, between = moved(bench, old, silent)
+    bench.until(lambda: between.targets)
+    last = Service(bench, stream(bench, listed(43, entry("h1"), whole=False), then_silent=False))
+    discovery.move(last.stand_in.address)
+    bench.until(lambda: len(lists(bench)) == 2)
+    bench.pass_us(2 * QUICK.watch_silence_us)
+    assert [told.version for told in lists(bench)] == [42, 43]
--- a/tests/test_growth.py
+++ b/tests/test_growth.py
@@ -26,14 +26,14 @@
         settings = replace(SETTINGS, proxies=PROXIES)
         self.facade = Facade(settings, 7, QUICK)
         self.outbox = Outbox(QUICK.orders, QUICK.marks)
-        self.proxies = Proxies(QUICK.news_ahead)
+        self.proxies = Proxies(QUICK.news_ahead, QUICK.news_cover_us)
         self.buffer = Buffer(QUICK.read_bytes, QUICK.line_bytes)
         self.now = 50 * SECOND
         self.second = 0
         self.names = [f"h{k}" for k in range(HOSTS)]
         self.facade.report_known(self.members(), 1)
         self.facade.start(self.now)
-        self.proxies.opened(0, 0)
+        self.proxies.opened(0, 0, 0)
         for proxy in range(PROXIES):
             self.news(Joined(proxy, "east", 10.0, True))
 
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -110,6 +110,7 @@
     def __init__(self, bench: Bench, *script: Callable[[Caller, int], Act[None]]) -> None:
         self.calls: list[list[dict[str, object]]] = []
         self.script = list(script)
+        self.ended = 0  # connections that the director closed
         self.stand_in = StandIn(bench.loop, self._serve)
 
     def _serve(self, caller: Caller) -> Act[None]:
@@ -120,6 +121,7 @@
             self.calls.append(orders)
             act = self.script.pop(0) if self.script else take_all
             yield from act(caller, len(orders))
+        self.ended += 1
 
     def verbs(self) -> list[list[object]]:
         return [[order["verb"] for order in call] for call in self.calls]
@@ -133,6 +135,10 @@
     yield from caller.answer(200, b'{"ok_count":2}')
 
 
+def take_none(caller: Caller, _: int) -> Act[None]:
+    yield from caller.answer(200, b'{"ok_count":0}')
+
+
 def throttle(caller: Caller, _: int) -> Act[None]:
     yield from caller.answer(429, b'{"error":"Throttling"}')
 
@@ -193,10 +199,11 @@
 
 
 def test_a_refused_order_is_dropped_and_told_and_the_rest_goes_again(bench: Bench) -> None:
-    relay, outbox = Relay(bench, take_two), outbox_of(SET, SetShare(0, "h2", 1.0), USE, MARK)
+    relay = Relay(bench, take_two, take_none)
+    outbox = outbox_of(SET, SetShare(0, "h2", 1.0), USE, MARK)
     start_calls(bench, relay, outbox)
     bench.until(lambda: not outbox.batches)
-    assert relay.verbs() == [["SET", "SET", "USE", "SYNC"], ["SYNC"]]
+    assert relay.verbs() == [["SET", "SET", "USE", "SYNC"], ["USE", "SYNC"], ["SYNC"]]
     assert bench.log.named("order_refused") == [{"order": encode(USE).decode()}]
 
 
@@ -208,15 +215,48 @@
     assert bench.counters["relay_throttled"] == 2
 
 
-def test_a_call_that_is_none_is_given_up_so_that_later_orders_go_out(bench: Bench) -> None:
+def test_a_refusal_that_a_spoilt_answer_made_up_costs_no_order(bench: Bench) -> None:
+    relay, outbox = Relay(bench, take_two), outbox_of(SET, SetShare(0, "h2", 1.0), USE, MARK)
+    start_calls(bench, relay, outbox)
+    bench.until(lambda: not outbox.batches)
+    assert relay.verbs() == [["SET", "SET", "USE", "SYNC"], ["USE", "SYNC"]]
+    assert bench.log.named("order_refused") == []
+
+
+def test_a_call_taken_for_none_by_a_spoilt_answer_goes_again(bench: Bench) -> None:
     relay, outbox = Relay(bench, invalid), outbox_of(SET, MARK)
+    start_calls(bench, relay, outbox)
+    bench.until(lambda: not outbox.batches)
+    assert relay.verbs() == [["SET", "SYNC"]] * 2
+    assert bench.log.named("call_invalid")[0]["given_up"] is False
+
+
+def test_a_call_that_is_none_is_given_up_so_that_later_orders_go_out(bench: Bench) -> None:
+    times = QUICK.invalid_most
+    relay, outbox = Relay(bench, *[invalid] * times), outbox_of(SET, MARK)
     waiting = start_calls(bench, relay, outbox)
     bench.until(lambda: not outbox.batches)
     outbox.add([USE])
     waiting.raise_()
     bench.until(lambda: not outbox.batches)
-    assert relay.verbs() == [["SET", "SYNC"], ["USE"]]
-    assert bench.log.named("call_invalid")
+    assert relay.verbs() == [["SET", "SYNC"]] * times + [["USE"]]
+    assert bench.log.named("call_invalid")[-1]["given_up"] is True
+
+
+SPOILT = [b"{}", b"[1]", b'{"ok_count":-3}', b'{"ok_count":[1]}', b'{"ok_count":"s-zz"}',
+          b'{"ok_count":1e30}', b'{"ok_count":38654705664}', b'{"ok_count":null}',
+          b'{"ok_count":true}', b"\xe9\x81\xc5"]
+
+
+@pytest.mark.parametrize("answer", SPOILT, ids=repr)
+def test_a_spoilt_answer_proves_nothing_and_the_call_goes_again(bench: Bench, answer: bytes) -> None:
+    def spoil(caller: Caller, _: int) -> Act[None]:
+        yield from caller.answer(200, answer)
+    relay, outbox = Relay(bench, spoil), outbox_of(SET, MARK)
+    start_calls(bench, relay, outbox)
+    bench.until(lambda: not outbox.batches)
+    assert relay.verbs() == [["SET", "SYNC"]] * 2
+    assert bench.counters["relay_calls_failed"] == 1
 
 
 @pytest.mark.parametrize("trouble", [say_nothing, break_off, half_an_answer, not_http, not_json])
@@ -277,6 +317,43 @@
     assert back.verbs() == [["SET", "SYNC"]]
 
 
+def test_calls_follow_the_relay_and_the_one_under_way_goes_again_there(bench: Bench) -> None:
+    old, new, outbox = Relay(bench, say_nothing), Relay(bench), outbox_of(SET, MARK)
+    calls = Calls(bench.parts, old.stand_in.address, outbox, Signal())
+    bench.loop.start("calls", calls.run())
+    bench.until(lambda: old.calls)
+    calls.move(new.stand_in.address)
+    bench.until(lambda: not outbox.batches)
+    assert old.verbs() == new.verbs() == [["SET", "SYNC"]]
+
+
+def test_an_idle_connection_to_the_old_address_is_let_go(bench: Bench) -> None:
+    bench.parts = replace(bench.parts, limits=replace(QUICK, idle_us=3_600_000_000))
+    old, new, outbox = Relay(bench), Relay(bench), outbox_of(SET, MARK)
+    waiting = Signal()
+    calls = Calls(bench.parts, old.stand_in.address, outbox, waiting)
+    bench.loop.start("calls", calls.run())
+    bench.until(lambda: not outbox.batches)
+    calls.move(new.stand_in.address)
+    bench.until(lambda: old.ended)
+    outbox.add([USE])
+    waiting.raise_()
+    bench.until(lambda: not outbox.batches)
+    assert (old.verbs(), new.verbs()) == ([["SET", "SYNC"]], [["USE"]])
+
+
+def test_while_the_new_address_does_not_answer_the_old_connection_serves(bench: Bench) -> None:
+    old, down, outbox = Relay(bench, throttle), Relay(bench), outbox_of(SET, MARK)
+    down.stand_in.close()
+    calls = Calls(bench.parts, old.stand_in.address, outbox, Signal())
+    bench.loop.start("calls", calls.run())
+    bench.until(lambda: old.calls)
+    calls.move(down.stand_in.address)
+    bench.until(lambda: not outbox.batches)
+    assert old.verbs() == [["SET", "SYNC"]] * 2
+    assert old.stand_in.connections == 1
+
+
 def test_news_that_opens_sends_what_waits_for_the_relay(bench: Bench) -> None:
     bench.parts = replace(bench.parts, limits=replace(QUICK, throttled_us=3_600_000_000))
     relay, outbox = Relay(bench, throttle), outbox_of(SET, MARK)
@@ -439,3 +516,27 @@
     start_news(bench, source, outbox)
     bench.until(lambda: OrdersApplied(3, 5, 1500) in bench.module.events)
     assert bench.module.events[-2:] == [OrdersApplied(3, 4, 1500), OrdersApplied(3, 5, 1500)]
+
+
+def test_news_moves_without_a_gap_and_lets_go_of_the_old_streams(bench: Bench) -> None:
+    """Nobody is told to have left or joined, so no proxy is bound anew."""
+    snapshot = [joined(0), joined(1), b"{}"]
+    old, new = Broadcaster(bench, snapshot, snapshot), Broadcaster(bench, snapshot, snapshot)
+    reader = NewsReader(bench.parts, old.stand_in.address, outbox_of(), Signal())
+    for stream in reader.streams():
+        bench.loop.start("news", reader.run(stream))
+    bench.until(lambda: old.stand_in.connections == 2 and len(bench.module.events) == 3)
+    reader.move(new.stand_in.address)
+    for stream in reader.streams():
+        bench.loop.start("news", reader.run(stream))
+    bench.until(lambda: len(bench.log.named("news_open")) == 4)
+    bench.pass_us(5 * MS)
+    assert bench.log.named("news_lost") == []
+    for _ in range(4):
+        old.feed += [b"{}"]
+        bench.pass_us(5 * MS)
+    assert [line["reason"] for line in bench.log.named("news_lost")] == ["moved", "moved"]
+    new.feed += [left(1)]
+    bench.until(lambda: ProxyLeft(1) in bench.module.events)
+    assert len(bench.module.events) == 4
+    assert old.stand_in.connections == 2
