Keep proxies on tables of before at a start until their tries tell what these hold

Traced (module lines, restart at 17 s): 133 proxies join within two seconds, all are bound to even weights, spread of tries over hosts 2.1 to 1.3. At fault: _bind_joined, which knows no speeds at a start. Also _count_let_in: once it sheds, refused repeats pile up in the estimated backlog (192 where good rate times mean time is 26), so levels stay at a third for 8 s of sound times. Changed: a mass of proxies with ordered tables keeps them for up to 6 s, until 12 tries a host were heard; the shares become the speeds. Not where a host drained, went or started since (rules 3 and 4). Older backlog is bounded by times.

--- a/kelpcourse/decide.py
+++ b/kelpcourse/decide.py
@@ -21,46 +21,34 @@
 NEAR_AIM = 0.55  # expected time over mean aim beyond which answers come too late: overload before failures
 BUSY_AIM = 0.5  # mean time over mean aim from which hosts are full, so that the good rate is what they can do
 QUICK_AIM = 0.4  # failures with mean times under this part of the aim are not of load: less load won't help
-TESTED = 0.75  # part of V that good answers must have reached for V to grow: else nothing speaks for it
-GROW = 1.18  # way up a second: V is measured under the levels it set, so it grows while nothing is late
-FOLLOW_US = 3_000_000  # time in which V follows the good rate of full hosts; a collapse is faster
-DRAIN_US = 3_000_000  # a backlog is to be worked off in this time
+TESTED, GROW = 0.75, 1.18  # part of V that good answers must reach for V to grow, and its way up a second
+FOLLOW_US, DRAIN_US = 3_000_000, 3_000_000  # V follows the good rate of full hosts; a backlog is worked off
 REST_AIM = 0.4  # a backlog worth this part of the aim may stay: hosts should not run dry
 BACKLOG_US = 6_000_000  # time in which an estimated backlog is forgotten: its errors add up
-CUT_LEAST = 0.3  # part of V, and of what comes, that counts at least: wrong estimates must not shut the door
+CUT_LEAST, LEVEL_LEAST = 0.3, 0.05  # of V and demand, whatever estimates say; of a class, to see the load go
 REPORT_LATE_US = 700_000  # assumed lateness of a report beyond its period, which no setting tells
-LEVEL_LEAST = 0.05  # no class is ever shut out: some answers are needed to see that the load has gone
 RATE_ALL = 1e6  # requests a second at a proxy that stand for no limit, where levels are rates
-LEVEL_FALL = 0.1  # a fall of a level by this much is sent ahead of the pace
-LEVEL_STEP = 0.03  # smaller changes of a level are not worth an order
-SICK_SHARE = 0.05  # a host's failed share that halves its weight (the design's figure)
-SICK_LEAST = 4  # failures before a host is judged: fewer come by chance
+LEVEL_FALL, LEVEL_STEP = 0.1, 0.03  # of a level: sent ahead of the pace from here; below: no order
+SICK_SHARE, SICK_LEAST = 0.05, 4  # failed share that halves a weight (the design's); fewer come by chance
 SICK_TIMES = 10.0  # and its failures for each good answer, over the rest: else the trouble is everybody's
 SICK_MOST = 0.4  # share of the fleet judged sick at most: beyond it the rest would drown
 MUTE = (0.25, 0.6)  # share of the fleet that answers nothing while the rest does: a cut path, not overload
-FADE = 0.5  # what is kept of a host's counts from report to report
-GAP = 4.0  # times of a line without any report after which a director listens anew, as at its start
+FADE, GAP = 0.5, 4.0  # kept of a host's counts by report; line times without any to listen anew as at a start
 RESTORE_US = 2_000_000  # a sick host goes a step up after so long without cause: few tries must not hold it
-HEALTH_LEAST = 0.04  # a sick host keeps this part: few requests are lost, enough to see it mend
-HEALTH_STEP = 3.0  # restoring: a step up; a mended zone must not leave the rest to drown
+HEALTH_LEAST, HEALTH_STEP = 0.04, 3.0  # a sick host keeps that part; a step up: the rest must not drown
 SPEED_ANSWERS = 80.0  # good answers of a mean host over which speeds are averaged: fewer and later ones swing
 SPEED_RANGE = (0.4, 2.5)  # learned part of a weight
-SPEED_LINES = 1.0  # reports that a speed not yet heard of counts as: the first one moves it by half
-LOAD_DOUBT = 0.4  # mean time over a host's own under which its load reports do not count
-UTIL_LEAST = 0.1  # below it the noise of a load report is larger than what it says
-SPEED_TRIES = 3  # good answers before a mean time counts
+SPEED_LINES, SPEED_TRIES = 1.0, 3  # reports that a first speed counts as; good answers before a time counts
+LOAD_DOUBT, UTIL_LEAST = 0.4, 0.1  # a load report counts up to times so far apart, and above its noise
 COLD_MOST = 2.0  # times V that hosts may be sent where some are cold, to stay under any fall multiple
 DISTINCT_US = 5_000_000  # time in which the part of refused repeats in what comes is learned
 LEFT_LEAST = 0.1  # part of its weight that a host keeps in the shared table beside its own classes
-LINE_FIRST = 1e6  # puts a new host's line before any change of weight, and a cold host's fall before both
-LINE_STEP = 0.08  # smaller relative changes of a weight are not worth a line
+LINE_FIRST, LINE_STEP = 1e6, 0.08  # new lines go first, a cold host's fall before them; below: no line
+HOLD_US, ADOPT_TRIES, MASS = 6_000_000, 12.0, 15  # tables of before: kept, told by tries a host, if many join
 FORGET_US = 30_000_000  # since a host was withdrawn that is gone: a drain takes seconds, and it may come back
 ASK_FIRST_US = 500_000  # first wait before asking discovery again, doubled to a quarter of what is allowed
-QUEUE_ORDINARY = 0.5  # part of the channel's limit that ordinary orders may fill; the rest is for urgent
-QUEUE_BIND = 0.6  # and bindings, which bring proxies that joined off their small standing tables
-QUEUE_MOST = 0.95  # and any order: what waits is counted from above, but not to the line
-WITHDRAW_HEADS = 2  # hosts for each line of a head that are worth a message of a full channel
-MESSAGES_ORDINARY = 0.6  # part of a proxy's message allowance for ordinary orders
+QUEUE_ORDINARY, QUEUE_BIND, QUEUE_MOST = 0.5, 0.6, 0.95  # parts of the channel: ordinary, bindings, any
+WITHDRAW_HEADS, MESSAGES_ORDINARY = 2, 0.6  # hosts a head worth a message; part of the cap for ordinary
 Numbers = Sequence[float]
 Key = tuple[frozenset[str], frozenset[str], str, str]
 
@@ -100,6 +88,7 @@
 class Proxy:
     zone: str
     usual_rate: float
+    held_until_us: int = 0  # serves by a table of before till then
     bound: set[TableId] = field(default_factory=set)
     sent: deque[int] = field(default_factory=deque)
     unapplied: deque[tuple[int, float]] = field(default_factory=deque)  # checkpoint and lines, oldest first
@@ -154,19 +143,17 @@
         self.levels_sent: dict[tuple[TableId, int], float] = {}
         self.out_hosts: dict[HostId, int] = {}  # withdrawn by this instance, and when
         self.dropped: set[HostId] = set()  # to be withdrawn with the next orders
-        self.levels = [1.0] * len(settings.classes)
-        self.volume = 0.0  # V: best good rate heard lately, a second
+        self.levels, self.volume = [1.0] * len(settings.classes), 0.0  # V: best good rate heard lately
         self.heard: dict[HostId, list[float]] = {}  # good answers and their time since last judged
         self.demand, self.arrived = ([0.0] * len(settings.classes) for _ in range(2))  # arrived: since then
-        self.unanswered = self.good = self.lost = 0.0  # lost since then; a second: good answers, and lost
+        self.unanswered = self.good = self.lost = self.backlog = self.mean_us = self.fleet = 0.0
         self.spans_us: list[int] = []
-        self.cover_us = settings.report_period_us  # time that a line on a host covers
-        self.distinct = 1.0  # part of what comes that a level is drawn for
-        self.backlog = self.mean_us = self.fleet = 0.0  # fleet: what hosts can do by weight, as V was set
+        self.cover_us, self.distinct = settings.report_period_us, 1.0  # a line's time; part drawn for
         self.level_log: deque[tuple[int, list[float]]] = deque([(0, list(self.levels))], maxlen=20)
         self.judged_us = self.lines_us = self.lag_us = self.listen_us = 0
         self.ask_due_us, self.ask_wait_us, self.number = 0, ASK_FIRST_US, 0
         self.shedding = self.watching = self.urgent = False  # urgent until the next orders are out
+        self.adopting, self.joins = True, deque[int](maxlen=max(2, settings.proxies // MASS))
 
     # Taking events in
 
@@ -188,8 +175,10 @@
                 self.out.append(SetTimer("tick", self.now + TICK_US))
             case HostList():
                 self._take_list(event)
-            case ProxyJoined(proxy, zone, rate):
-                self.proxies[proxy] = Proxy(zone, rate)
+            case ProxyJoined(proxy, zone, rate, fresh):
+                self.joins.append(self.now)
+                mass = len(self.joins) == self.joins.maxlen and self.now - self.joins[0] <= TICK_US
+                self.proxies[proxy] = Proxy(zone, rate, self.now + HOLD_US if mass and not fresh else 0)
             case ProxyLeft(proxy) if proxy in self.proxies:  # what it holds is not reported here any more
                 self.backlog *= 1 - 1 / len(self.proxies)
                 del self.proxies[proxy]
@@ -209,8 +198,7 @@
             return
         self.ask_wait_us = ASK_FIRST_US
         if event.kind is not ListKind.CHANGES:
-            named = {host.id for host in event.hosts}
-            for gone in [h for h in self.servers if h not in named]:
+            for gone in sorted(self.servers.keys() - {host.id for host in event.hosts}):
                 self._drop(gone)
         for host in event.hosts:
             self._take_host(host)
@@ -226,21 +214,22 @@
         elif known is None or known.host.started_us != host.started_us:
             self.servers[host.id] = Server(host, eased_us=self.now)
             self.dropped.discard(host.id)
-            held = any(host.id in lines for lines in self.lines.values())
-            self.urgent |= held and self._warmth(self.servers[host.id]) < 1
+            cold = self._warmth(self.servers[host.id]) < 1
+            self.adopting &= not cold  # rule 4: and a cold one at its full weight
+            self.urgent |= cold and any(host.id in lines for lines in self.lines.values())
         else:
             known.host = host
 
     def _drop(self, host: HostId) -> None:
         self.servers.pop(host, None)
         self.dropped.add(host)
+        self.adopting = False  # rule 3: tables of before may hold it unshut
 
     def _take_report(self, event: HostReport) -> None:
         good = event.tries - event.failed
         self.spans_us.append(event.span_us)
         cell = self.heard.setdefault(event.host, [0.0, 0.0])
-        cell[0] += good
-        cell[1] += good * event.good_time_us
+        cell[:] = cell[0] + good, cell[1] + good * event.good_time_us
         if event.host in self.servers:
             self.servers[event.host].take(self.now, event)
 
@@ -272,8 +261,10 @@
         many, and n_i leaves them out. Catches levels applied late too; hurts where work is held for long."""
         let_in = self._let_in(self.arrived, self.now - self.lag_us) * self.distinct
         refused = sum(self.arrived) * self.distinct - let_in
+        if sound := self.mean_us < BUSY_AIM * self._mean_aim():  # what built up before would show in times
+            self.backlog = min(self.backlog, self.good * self.mean_us / 1e6)
         self.backlog += let_in - ended
-        if self.mean_us < BUSY_AIM * self._mean_aim() and refused > 0 < min(let_in, ended):
+        if sound and refused > 0 < min(let_in, ended):
             part = refused / (refused + let_in) * min(1.0, span * 1e6 / DISTINCT_US)
             self.distinct = min(1.0, max(CUT_LEAST, self.distinct * (ended / let_in) ** part))
 
@@ -313,7 +304,15 @@
         return {v.host.id for v in mute}
 
     def _correct_speeds(self) -> None:
-        """Listed weights say little or nothing of speed: let shares follow what hosts show they can do."""
+        """Listed weights say little of speed: let shares follow what hosts show they can do. At a start, by
+        tables of before, tries show what another director had learned: that is taken on."""
+        tries = sum(v.tries for v in self.servers.values())
+        if self.adopting and tries >= ADOPT_TRIES * len(self.servers):
+            self.adopting = False
+            held = sum(p.held_until_us > 0 for p in self.proxies.values())
+            for server in self.servers.values() if 2 * held > len(self.proxies) else ():
+                odds = server.tries * len(self.servers) / tries / self._nominal(server)
+                server.speed = min(SPEED_RANGE[1], max(SPEED_RANGE[0], server.speed * odds))
         told = [v for v in self.servers.values() if v.good >= SPEED_TRIES and self._warmth(v) >= 1]
         if len(told) < 2:
             return
@@ -596,7 +595,8 @@
             if self.queued and self._room(QUEUE_MOST if self.out_hosts else QUEUE_BIND) < size:
                 break
             for table, classes in self.tables.get(proxy.zone, {}).items():
-                if table in proxy.bound or not self.lines[table]:
+                held = self.adopting and self.now < proxy.held_until_us
+                if held or table in proxy.bound or not self.lines[table]:
                     continue  # rule 1: a table without lines would take away what the proxy holds
                 proxy.bound.add(table)
                 self.out.append(BindProxy(number, table, tuple(classes)))
--- a/tests/test_load.py
+++ b/tests/test_load.py
@@ -172,6 +172,17 @@
     assert day.levels == {0: 1.0, 1: 1.0}
 
 
+def test_what_built_up_before_is_no_more_than_sound_times_explain() -> None:
+    """Refused repeats came in and never ended: 190 were taken to wait where 26 were, with levels at a third."""
+    day = Day(listed=hosts(10))
+    steady(day)
+    for _ in range(3):
+        day.second(hosts(10), time_us=500_000, demand=(80, 20))
+    assert day.director.backlog > 100
+    day.second(hosts(10), time_us=100_000, tries=16, demand=(80, 20))
+    assert day.director.backlog < 50
+
+
 def test_the_first_reports_after_a_start_neither_shed_nor_set_v_low() -> None:
     """A director that came back was told of 9 requests a second of 200 that came, a sixth of them failed, and
     shed for 15 s by a V that had grown from nothing."""
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -26,6 +26,7 @@
 
 def test_a_proxy_that_rejoins_is_bound_again() -> None:
     day = Day(listed=hosts(6), proxies=1)
+    day.until(day.now + 2 * SECOND)
     day.send(ProxyLeft(0))
     assert only(day.send(ProxyJoined(0, "east", 5.0, False)), BindProxy) != []
 
@@ -279,6 +280,7 @@
 
 def test_an_acknowledgement_of_an_earlier_stream_is_disregarded() -> None:
     day = Day(listed=hosts(4), proxies=1)
+    day.until(day.now + 2 * SECOND)
     day.send(ProxyLeft(0))
     assert only(day.send(OrdersApplied(0, 1, 5)), Withdraw) == []
     day.send(ProxyJoined(0, "east", 10.0, False), OrdersApplied(0, 999, 5))
