--- a/tests/test_load.py
+++ b/tests/test_load.py
@@ -173,7 +173,7 @@
 
 
 def test_what_built_up_before_is_no_more_than_sound_times_explain() -> None:
-    """Refused repeats came in and never ended: 190 were taken to wait where 26 were, with levels at a third."""
+    """Refused repeats came in and never ended: 190 were taken to wait where 26 were, levels at a third."""
     day = Day(listed=hosts(10))
     steady(day)
     for _ in range(3):
