--- a/tests/test_work.py
+++ b/tests/test_work.py
@@ -8,7 +8,7 @@
 from types import FrameType
 from typing import Any
 
-from kelpcourse.interface import DemandReport, Event, HostReport, OrdersApplied
+from kelpcourse.interface import DemandReport, Event, HostReport, OrdersApplied, ProxyJoined
 from tests.fleet import SECOND, SETTINGS, Day, changes, host, hosts
 
 CROWDED = replace(SETTINGS, channel_backlog=1e9, connections_least=1.0)
@@ -61,6 +61,18 @@
     return steps(lambda: day.send(*(OrdersApplied(p, 1, 1000) for p in range(2 * size))))
 
 
+def joining(size: int) -> int:
+    """All proxies come to one director at once and are bound as its channel has room."""
+    day = Day(settings=replace(SETTINGS, proxies=2 * size), listed=hosts(30), proxies=0)
+    day.joined = list(range(2 * size))
+    return steps(lambda: day.send(*(ProxyJoined(p, "east", 1.0, True) for p in day.joined)))
+
+
+def test_four_hundred_proxies_that_join_at_once_cost_a_step_in_line_with_their_number() -> None:
+    small = joining(100)
+    assert small < joining(200) < 2.5 * small
+
+
 def test_the_work_of_a_step_grows_in_line_with_hosts_and_proxies() -> None:
     for kind in (report, deploy, acknowledgements):
         small = kind(60)
