Make a turn of the loop cost what is due, and move limits out of service

Times now stand in a heap, swept when waits that ended early outnumber the others, and a signal knows its waiters; limits.py leaves service/, as all parts use it.

--- a/kelpcourse/facade.py
+++ b/kelpcourse/facade.py
@@ -16,7 +16,7 @@
 )
 from kelpcourse.memory.hosts import Hosts, Member, Phase
 from kelpcourse.memory.orders import EmptyTable, Limit, Mark, Order, SetShare, ShutOut, UseTable
-from kelpcourse.service.limits import Limits
+from kelpcourse.limits import Limits
 
 STATES = {Phase.READY: HostState.READY, Phase.DRAINING: HostState.DRAINING, Phase.GONE: HostState.GONE}
 Load = Sequence[tuple[str, float]]
--- a/kelpcourse/service/director.py
+++ b/kelpcourse/service/director.py
@@ -19,7 +19,7 @@
 from kelpcourse.service.config import (
     MOVES, WAITS, BadConfig, Config, differing, read_config, reread_config,
 )
-from kelpcourse.service.limits import Limits
+from kelpcourse.limits import Limits
 from kelpcourse.service.logs import Log
 from kelpcourse.service.signals import signal_routine
 from kelpcourse.wire.discovery import Discovery
--- a/kelpcourse/service/logs.py
+++ b/kelpcourse/service/logs.py
@@ -8,7 +8,7 @@
 import orjson
 
 from kelpcourse.memory.counters import Counters
-from kelpcourse.service.limits import Limits
+from kelpcourse.limits import Limits
 
 
 class Log:
--- a/kelpcourse/wire/http.py
+++ b/kelpcourse/wire/http.py
@@ -7,7 +7,7 @@
 
 import h11
 
-from kelpcourse.service.limits import Limits
+from kelpcourse.limits import Limits
 from kelpcourse.wire.buffers import Buffer, TooLong
 from kelpcourse.wire.loop import Wait, Woken
 from kelpcourse.wire.stream import Act, Address, Broken, Stream, connect
--- a/kelpcourse/wire/listener.py
+++ b/kelpcourse/wire/listener.py
@@ -8,7 +8,7 @@
 import socket
 
 from kelpcourse.facade import Unknown
-from kelpcourse.service.limits import Limits
+from kelpcourse.limits import Limits
 from kelpcourse.wire.buffers import Buffer, TooLong
 from kelpcourse.wire.fields import BadMessage
 from kelpcourse.wire.loop import READ, Routine, Task, Wait
--- a/kelpcourse/wire/parts.py
+++ b/kelpcourse/wire/parts.py
@@ -8,7 +8,7 @@
 
 from kelpcourse.facade import Facade
 from kelpcourse.memory.counters import Counters
-from kelpcourse.service.limits import Limits
+from kelpcourse.limits import Limits
 from kelpcourse.wire.loop import Loop
 
 
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -13,7 +13,7 @@
 from kelpcourse.interface import Action, Checkpoint, Event, Settings
 from kelpcourse.memory.counters import Counters
 from kelpcourse.memory.hosts import Member, Phase
-from kelpcourse.service.limits import Limits
+from kelpcourse.limits import Limits
 from kelpcourse.wire.loop import READ, Loop, Routine, Wait
 from kelpcourse.wire.parts import Parts
 from kelpcourse.wire.stream import Act, Address, Broken, Stream
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -11,7 +11,7 @@
 
 from kelpcourse.fields import Fields
 from kelpcourse.service.config import BadConfig, read_config
-from kelpcourse.service.limits import Limits
+from kelpcourse.limits import Limits
 from kelpcourse.settings import read_settings
 from tests.standins import entry
 from tests.test_adapter import CONFIG
--- a/tests/test_loop.py
+++ b/tests/test_loop.py
@@ -150,3 +150,56 @@
     rig.clock.now += 10
     rig.loop.turn(rig.clock.now)
     assert rig.told == ["nothing was taken in time"]
+
+
+def test_a_signal_lowered_before_the_turn_wakes_nobody() -> None:
+    rig, signal = Rig(), Signal()
+    rig.loop.start("it", rig.waits(Wait(rig.clock.now + 10, signal=signal)))
+    signal.raise_()
+    signal.lower()
+    assert rig.loop.turn(rig.clock.now) == 0
+    signal.raise_()
+    assert rig.loop.turn(rig.clock.now) == 1
+    assert rig.told == [Woken.SIGNALLED]
+
+
+def test_a_signal_raised_before_the_wait_wakes_at_once_and_all_that_wait() -> None:
+    rig, signal = Rig(), Signal()
+    rig.loop.start("early", rig.waits(Wait(signal=signal)))
+    signal.raise_()
+    rig.loop.start("late", rig.waits(Wait(signal=signal)))
+    assert rig.loop.turn(None) == 2
+
+
+def test_times_come_in_their_order_and_a_time_of_an_ended_wait_wakes_nobody(pair: Pair) -> None:
+    rig = Rig()
+    now = rig.clock.now
+    order: list[str] = []
+
+    def at(name: str, until_us: int) -> Routine:
+        yield Wait(until_us)
+        order.append(name)
+    for name, after in (("c", 30), ("a", 10), ("b", 20), ("b2", 20)):
+        rig.loop.start(name, at(name, now + after))
+    rig.loop.start("it", rig.waits(Wait(now + 15, pair[0].fileno(), READ), Wait(now + 1000)))
+    pair[1].send(b"x")
+    rig.loop.turn(now)
+    rig.clock.now += 30
+    rig.loop.turn(now)
+    assert order == ["a", "b", "b2", "c"]
+    assert rig.told == [Woken.READY]
+
+
+def test_waits_that_end_early_leave_no_times_behind_for_good(pair: Pair) -> None:
+    """A connection with a limit of a minute and a thousand messages a second would hold 60,000 of them."""
+    rig = Rig()
+
+    def endless() -> Routine:
+        while True:
+            yield Wait(rig.clock.now + 60_000_000, pair[0].fileno(), READ)
+            pair[0].recv(10)
+    rig.loop.start("endless", endless())
+    for _ in range(1000):
+        pair[1].send(b"x")
+        rig.loop.turn(rig.clock.now)
+    assert len(rig.loop._times) < 100
