--- a/kelpcourse/limits.py
+++ b/kelpcourse/limits.py
@@ -66,6 +66,13 @@
     probes_at_once: int = 16
     probes_waiting: int = 256
 
+    # Store (state that survives crashes)
+    store_staged: int = 10_000  # changes that wait to be durable
+    store_staged_bytes: int = 64 << 20
+    store_journal_bytes: int = 4 << 20  # a journal may grow to this before it is compacted,
+    store_journal_factor: float = 2.0  # and to so many times its snapshot
+    store_retry_us: int = 1_000_000  # before a new generation is tried again
+
     # Logs
     log_bytes: int = 4_096  # a line: what a pipe takes whole or not at all
     log_burst: int = 20  # lines of one event
