Add zones as data and decisions: meaning of records, belief, grants, union, updates

A director is to be steered by DNS zones with the same meaning of ready, draining and gone as discovery has.

Drafts, differences and hosts are compared with plain copies by generated steps.

--- /dev/null
+++ b/kelpcourse/zones/book.py
@@ -0,0 +1,123 @@
+"""Zones as entries of the store: what a change is in bytes, and how entries become zones again. Pure."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Sequence
+
+import msgspec
+
+from kelpcourse.limits import Limits
+from kelpcourse.zones.content import Difference, Record, zone_of
+from kelpcourse.zones.content import between as difference_between
+from kelpcourse.zones.errors import BadZone
+from kelpcourse.zones.held import HeldZone
+
+
+class Changed(msgspec.Struct, tag="changed", array_like=True, frozen=True):
+    """A zone went from one version to the next."""
+
+    origin: str
+    before: int | None
+    after: int
+    removed: tuple[Record, ...]
+    added: tuple[Record, ...]
+    at_ms: int
+
+
+class Seen(msgspec.Struct, tag="seen", array_like=True, frozen=True):
+    """The source of a zone confirmed the version held."""
+
+    origin: str
+    at_ms: int
+
+
+class Kept(msgspec.Struct, tag="kept", array_like=True, frozen=True):
+    """A whole zone in a snapshot, with the differences that led to it."""
+
+    origin: str
+    records: tuple[Record, ...]
+    history: tuple[Changed, ...]
+    seen_ms: int
+
+
+class Snapshot(msgspec.Struct, tag="snapshot", array_like=True, frozen=True):
+    zones: tuple[Kept, ...]
+
+
+Entry = Changed | Seen | Snapshot
+_encoder = msgspec.msgpack.Encoder()
+_decoder = msgspec.msgpack.Decoder(Entry)
+
+
+def encode(entry: Entry) -> bytes:
+    return _encoder.encode(entry)
+
+
+def decode(payload: bytes) -> Entry:
+    try:
+        return _decoder.decode(payload)
+    except msgspec.DecodeError as error:
+        raise BadZone(f"an entry of the store can't be read: {error}") from None
+
+
+def changed(origin: str, d: Difference) -> Changed:
+    return Changed(origin, d.before, d.after, d.removed, d.added, d.at_ms)
+
+
+def difference(entry: Changed) -> Difference:
+    return Difference(entry.before, entry.after, entry.removed, entry.added, entry.at_ms)
+
+
+def snapshot(zones: Iterable[HeldZone], others: Iterable[Kept]) -> bytes:
+    """`others`: zones that the store holds and the settings do not name; they are kept."""
+    kept = [Kept(z.origin, tuple(z.zone.records()), tuple(changed(z.origin, d) for d in z.history), z.seen_ms)
+            for z in zones if z.zone.exists]
+    return encode(Snapshot((*kept, *others)))
+
+
+class Replay:
+    """Entries into zones. Those of zones that are not in the settings are kept as they stand."""
+
+    def __init__(self, origins: Sequence[str], service: str, limits: Limits) -> None:
+        self.zones = {origin: HeldZone(origin, service, limits) for origin in origins}
+        self._others: dict[str, HeldZone] = {}
+        self._service = service
+        self._limits = limits
+        self.remarks: list[str] = []
+
+    def others(self) -> tuple[Kept, ...]:
+        entry = decode(snapshot(self._others.values(), ()))
+        assert isinstance(entry, Snapshot)
+        return entry.zones
+
+    def run(self, snapshot_payload: bytes | None, payloads: Iterable[bytes]) -> None:
+        for payload in (*([snapshot_payload] if snapshot_payload else []), *payloads):
+            try:
+                self._take(decode(payload))
+            except BadZone as error:  # told; the version that stands is a whole one
+                self.remarks.append(str(error))
+
+    def _take(self, entry: Entry) -> None:
+        match entry:
+            case Snapshot(zones):
+                for kept in zones:
+                    self._keep(kept)
+            case Changed():
+                zone = self._zone(entry.origin)
+                zone.take(difference(entry), 0)
+                zone.seen_ms = max(zone.seen_ms, entry.at_ms)
+            case Seen(origin, at_ms):
+                zone = self._zone(origin)
+                zone.seen_ms = max(zone.seen_ms, at_ms)
+
+    def _keep(self, kept: Kept) -> None:
+        zone = self._zone(kept.origin)
+        zone.take(difference_between(zone.zone, zone_of(kept.origin, kept.records), kept.seen_ms), 0)
+        for each in kept.history:
+            zone.history.add(difference(each))
+        zone.seen_ms = kept.seen_ms
+
+    def _zone(self, origin: str) -> HeldZone:
+        if origin in self.zones:
+            return self.zones[origin]
+        return self._others.setdefault(origin, HeldZone(origin, self._service, self._limits))
--- /dev/null
+++ b/kelpcourse/zones/history.py
@@ -0,0 +1,69 @@
+"""The differences that led to the version held: for IXFR (RFC 1995) and for putting a zone back. Pure."""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Iterator
+
+from kelpcourse.zones.content import SOA, Difference, Record, Zone, between, with_serial
+from kelpcourse.zones.errors import BadZone
+from kelpcourse.zones.serials import after
+
+
+class History:
+    """Bounded by records, not by versions: a whole-zone change weighs as much as it is."""
+
+    def __init__(self, most_records: int) -> None:
+        self._most = most_records
+        self._differences: deque[Difference] = deque()
+        self._records = 0
+
+    def __iter__(self) -> Iterator[Difference]:
+        return iter(self._differences)
+
+    def __len__(self) -> int:
+        return len(self._differences)
+
+    def serials(self) -> list[int]:
+        """Versions that can be told of, oldest first, without the one held."""
+        return [d.before for d in self._differences if d.before is not None]
+
+    def add(self, difference: Difference) -> None:
+        if difference.before is None or (self._differences and self._differences[-1].after != difference.before):
+            self._differences.clear()
+            self._records = 0
+            if difference.before is None:
+                return
+        self._differences.append(difference)
+        self._records += len(difference)
+        while self._records > self._most and self._differences:
+            self._records -= len(self._differences.popleft())
+
+    def undo_last(self) -> None:
+        self._records -= len(self._differences.pop())
+
+    def since(self, serial: int) -> list[Difference] | None:
+        """What leads from that version to the one held; None: that is no longer known."""
+        out: list[Difference] = []
+        for difference in reversed(self._differences):
+            out.append(difference)
+            if difference.before == serial:
+                return out[::-1]
+        return None
+
+
+def put_back(zone: Zone, history: History, serial: int, at_ms: int) -> Difference:
+    """The zone as it was at `serial`, as the version after the one held. Raises BadZone with what is known."""
+    steps = history.since(serial)
+    if steps is None:
+        known = ", ".join(map(str, history.serials())) or "none"
+        raise BadZone(f"{zone.origin} is not known as it was at serial {serial}; known: {known}")
+    former = zone.copy()
+    for step in reversed(steps):
+        former.apply(step.inverse(at_ms))
+    soa = former.get(zone.origin, SOA)
+    assert soa is not None
+    ttl, data = soa.ttl, next(iter(soa.data))
+    former.take(Record(zone.origin, SOA, ttl, data))
+    former.put(Record(zone.origin, SOA, ttl, with_serial(data, after(zone.serial))))
+    return between(zone, former, at_ms)
--- /dev/null
+++ b/kelpcourse/zones/transfer.py
@@ -0,0 +1,194 @@
+"""Zone transfers in both directions: messages of AXFR (RFC 5936) and IXFR (RFC 1995). No I/O."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Iterator, Sequence
+from typing import Any
+
+import dns.exception
+import dns.flags
+import dns.message
+import dns.name
+import dns.rcode
+import dns.rdataset
+import dns.rdatatype
+import dns.rrset
+import dns.transaction
+import dns.xfr
+
+from kelpcourse.limits import Limits
+from kelpcourse.zones.answer import rrset_of
+from kelpcourse.zones.belief import Version
+from kelpcourse.zones.content import SOA, Difference, Draft, Record, Zone, data_of, zone_of
+from kelpcourse.zones.errors import BadZone
+from kelpcourse.zones.names import canonical, is_under
+
+MESSAGE_RECORDS = 400  # in one message going out: it stays well under 64 KiB with usual records
+MESSAGE_BYTES = 60_000
+AXFR = dns.rdatatype.AXFR
+IXFR = dns.rdatatype.IXFR
+
+
+# Out
+
+def whole(zone: Zone) -> list[Record]:
+    """The records of an AXFR: the SOA first and last."""
+    soa = _soa_record(zone)
+    return [soa, *(r for r in zone.records() if r.type != SOA or r.owner != zone.origin), soa]
+
+
+def incremental(zone: Zone, differences: Sequence[Difference]) -> list[Record]:
+    """The records of an IXFR answer: the SOA held, each difference between its two SOAs, the SOA held."""
+    now = _soa_record(zone)
+    out = [now]
+    for step in differences:
+        for records in (step.removed, step.added):
+            out += sorted(records, key=lambda r: r.type != SOA)  # its SOA begins each part
+    return [*out, now]
+
+
+def _soa_record(zone: Zone) -> Record:
+    held = zone.get(zone.origin, SOA)
+    assert held is not None
+    return Record(zone.origin, SOA, held.ttl, next(iter(held.data)))
+
+
+def messages(query: dns.message.Message, records: Sequence[Record]) -> Iterator[bytes]:
+    """The answer in wire form, message by message; with a signed question all are signed (RFC 8945, 5.3.1)."""
+    context: Any = None
+    at = 0
+    while at < len(records):
+        response = dns.message.make_response(query)
+        response.flags |= dns.flags.AA
+        size, start = 0, at
+        while at < len(records) and at - start < MESSAGE_RECORDS:
+            record = records[at]
+            size += len(record.owner) + 12 + len(record.data)
+            if size > MESSAGE_BYTES and at > start:
+                break
+            at += 1
+        response.answer = _sets(records[start:at])
+        if start:
+            response.question = []
+        yield response.to_wire(multi=True, tsig_ctx=context, max_size=65_535)
+        context = response.tsig_ctx
+
+
+def _sets(records: Iterable[Record]) -> list[dns.rrset.RRset]:
+    """Records one by one, as their order has a meaning."""
+    return [rrset_of(r.owner, r.type, r.ttl, (r.data,)) for r in records]
+
+
+# In
+
+class Unfit(BadZone):
+    """Differences that don't fit the version held: the whole zone is to be fetched."""
+
+
+class Incoming:
+    """One transfer coming in, message by message, into a zone or a difference of its own: until it is whole,
+    nothing of it is to be seen anywhere."""
+
+    def __init__(self, held: Zone, query: dns.message.Message, rdtype: dns.rdatatype.RdataType, is_udp: bool,
+                 limits: Limits) -> None:
+        self._held = held
+        self._limits = limits
+        self._draft = _Sink(held, limits)
+        self._bytes = 0
+        self.query = query
+        serial = held.serial if held.exists and rdtype == IXFR else None
+        self._inbound = dns.xfr.Inbound(self._draft, rdtype, serial, is_udp, raise_on_serial_went_backwards=False)
+
+    def take(self, wire: bytes, message: dns.message.Message) -> bool:
+        """True once it is whole. Raises BadZone, Unfit or dns.xfr.UseTCP."""
+        self._bytes += len(wire)
+        if self._bytes > self._limits.zone_transfer_bytes:
+            raise BadZone(f"a transfer over {self._limits.zone_transfer_bytes} bytes")
+        try:
+            return bool(self._inbound.process_message(message))
+        except (dns.xfr.UseTCP, BadZone):
+            raise
+        except (dns.exception.DNSException, ValueError, KeyError) as error:
+            kind = Unfit if self._inbound.incremental else BadZone
+            raise kind(f"{self._held.origin}: {type(error).__name__}: {error}") from None
+
+    def result(self) -> tuple[Zone | None, Draft | None]:
+        """A whole zone, or a draft with differences; neither: nothing was newer."""
+        return self._draft.result()
+
+
+class _Sink(dns.transaction.TransactionManager):
+    """What dnspython's transfer writes into: the few calls of a transaction that it makes."""
+
+    def __init__(self, held: Zone, limits: Limits) -> None:
+        self._held = held
+        self._limits = limits
+        self._origin = dns.name.from_text(held.origin)
+        self._records: list[Record] | None = None
+        self._draft: Draft | None = None
+        self._done = False
+
+    def origin_information(self) -> tuple[dns.name.Name, bool, dns.name.Name]:
+        return self._origin, False, self._origin
+
+    def get_class(self) -> dns.rdataclass.RdataClass:
+        return dns.rdataclass.IN
+
+    def reader(self) -> dns.transaction.Transaction:
+        raise NotImplementedError
+
+    def writer(self, replacement: bool = False) -> Any:
+        self._records = [] if replacement else None
+        self._draft = None if replacement else Draft(self._held)
+        return self
+
+    def add(self, name: dns.name.Name, rdataset: dns.rdataset.Rdataset) -> None:
+        owner = canonical(name)
+        if not is_under(owner, self._held.origin):
+            raise BadZone(f"{owner} is not in {self._held.origin}")
+        for rdata in rdataset:
+            record = Record(owner, int(rdataset.rdtype), int(rdataset.ttl), data_of(rdata))
+            if self._records is not None:
+                self._records.append(record)
+                if len(self._records) > self._limits.zone_records:
+                    raise BadZone(f"more than {self._limits.zone_records} records")
+            elif self._draft is not None:
+                self._draft.add(record)
+
+    def replace(self, name: dns.name.Name, rdataset: dns.rdataset.Rdataset) -> None:
+        """Only ever the SOA of the new version."""
+        if self._draft is not None:
+            self._draft.remove_set(canonical(name), int(rdataset.rdtype))
+        self.add(name, rdataset)
+
+    def delete_exact(self, name: dns.name.Name, rdataset: dns.rdataset.Rdataset) -> None:
+        assert self._draft is not None
+        for rdata in rdataset:
+            if not self._draft.remove(canonical(name), int(rdataset.rdtype), data_of(rdata)):
+                raise Unfit(f"{name}: no such record to be removed")
+
+    def commit(self) -> None:
+        self._done = True
+
+    def rollback(self) -> None:
+        self._records = self._draft = None
+
+    def result(self) -> tuple[Zone | None, Draft | None]:
+        if not self._done:
+            return None, None
+        if self._records is not None:
+            return zone_of(self._held.origin, self._records), None
+        return None, self._draft
+
+
+def offered(zone: Zone | None, draft: Draft | None) -> Version | None:
+    """The version that came, to be judged before it is believed."""
+    data = zone.soa_data if zone is not None else draft.soa_data if draft is not None else b""
+    return Version(int.from_bytes(data[-20:-16], "big"), data) if data else None
+
+
+def check_fits(zone: Zone) -> None:
+    """A zone as it must be to be served. Raises BadZone."""
+    soa = zone.get(zone.origin, SOA)
+    if soa is None or len(soa.data) != 1:
+        raise BadZone(f"{zone.origin} has not exactly one SOA")
--- /dev/null
+++ b/tests/test_zone_decisions.py
@@ -0,0 +1,324 @@
+"""What the zones package decides: serials, belief, refreshing, grants, merging. All of it pure."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from kelpcourse.memory.hosts import Member, Phase
+from kelpcourse.zones.belief import Belief, Verdict, Version, judge
+from kelpcourse.zones.content import Soa
+from kelpcourse.zones.errors import BadZone
+from kelpcourse.zones.grants import Grant, HostClass, Losses, bare, matches, read_grant, refusal
+from kelpcourse.zones.refresh import SECOND_US, Refresh
+from kelpcourse.zones.serials import CIRCLE, HALF, Order, after, order
+from kelpcourse.zones.union import Union
+from tests.zoning import LIMITS, ORIGIN, draft_of, held, host, member, rec, rooms, zone
+
+serials = st.integers(0, CIRCLE - 1)
+MS = 1000
+
+
+# Serials (RFC 1982)
+
+@given(serials, st.integers(1, HALF - 1))
+def test_a_serial_is_ahead_of_all_in_the_half_round_behind_it(serial: int, distance: int) -> None:
+    assert order((serial + distance) % CIRCLE, serial) is Order.AHEAD
+    assert order(serial, (serial + distance) % CIRCLE) is Order.BEHIND
+
+
+@given(serials)
+def test_half_round_is_undefined_and_the_next_one_is_ahead_and_never_0(serial: int) -> None:
+    assert order((serial + HALF) % CIRCLE, serial) is Order.UNDEFINED
+    assert order(after(serial), serial) is Order.AHEAD
+    assert after(serial) != 0
+    assert order(serial, serial) is Order.SAME
+
+
+# Belief
+
+def version(serial: int, soa: bytes = b"soa") -> Version:
+    return Version(serial, soa)
+
+
+@pytest.mark.parametrize(("offered", "verdict"), [
+    (version(101), Verdict.NEWER), (version(100), Verdict.SAME), (version(99), Verdict.BEHIND),
+    (version(100 + HALF), Verdict.UNDEFINED), (version(101 + HALF), Verdict.BEHIND),
+    (version(99 + HALF), Verdict.NEWER), (version(100, b"other"), Verdict.DIFFERS)])
+def test_which_version_is_believed(offered: Version, verdict: Verdict) -> None:
+    assert judge(version(100), offered) is verdict
+    assert judge(None, offered) is Verdict.NEWER
+
+
+def test_a_primary_restored_from_a_backup_is_told_once_and_believed_when_the_zone_has_expired() -> None:
+    belief = Belief(version(100))
+    verdict, told = belief.offer("p", version(40))
+    assert verdict is Verdict.BEHIND
+    assert [(c.held, c.offered, c.begins) for c in told] == [(100, 40, True)]
+    assert belief.offer("p", version(40)) == (Verdict.BEHIND, [])
+    assert belief.contradicted
+    belief.expire()
+    verdict, told = belief.offer("p", version(41))
+    assert verdict is Verdict.NEWER
+    assert [c.begins for c in told] == [False]
+    belief.take(version(41))
+    assert belief.offer("p", version(40))[0] is Verdict.BEHIND
+
+
+def test_two_primaries_that_differ_are_told_apart_and_one_may_fall_silent() -> None:
+    belief = Belief(version(100))
+    assert belief.offer("a", version(100))[0] is Verdict.SAME
+    assert belief.offer("b", version(100, b"another"))[0] is Verdict.DIFFERS
+    assert [c.begins for c in belief.forget("b")] == [False]
+    assert not belief.contradicted
+    assert belief.forget("b") == []
+
+
+# Refreshing
+
+SOA = Soa(5, refresh=60, retry=10, expire=600, minimum=30)
+
+
+def test_a_round_asks_each_primary_and_then_waits_for_the_retry() -> None:
+    refresh = Refresh(LIMITS, ["a", "b"], 0)
+    refresh.hold(SOA, 0)
+    assert refresh.begin(0) == "a"
+    assert refresh.failed(1)
+    assert refresh.begin(1) == "b"
+    assert not refresh.failed(2)
+    assert refresh.due_us() == 2 + 10 * SECOND_US
+    assert refresh.begin(3) is None
+
+
+def test_who_answered_last_is_asked_first_and_an_answer_moves_the_end_on() -> None:
+    refresh = Refresh(LIMITS, ["a", "b"], 0)
+    refresh.hold(SOA, 0)
+    refresh.begin(0)
+    refresh.failed(0)
+    refresh.begin(0)
+    refresh.answered(7, True)
+    assert refresh.due_us() == 7 + 60 * SECOND_US
+    assert refresh.expires_us() == 7 + 600 * SECOND_US
+    assert refresh.begin(refresh.due_us()) == "b"
+
+
+def test_what_does_not_confirm_does_not_move_the_end() -> None:
+    refresh = Refresh(LIMITS, ["a"], 0)
+    refresh.hold(SOA, 0)
+    refresh.begin(0)
+    refresh.answered(500 * SECOND_US, False)
+    assert not refresh.expired(600 * SECOND_US - 1)
+    assert refresh.expired(600 * SECOND_US)
+
+
+def test_a_flood_of_notify_makes_no_flood_of_questions() -> None:
+    refresh = Refresh(LIMITS, ["a"], 0)
+    refresh.hold(SOA, 0)
+    asked = 0
+    for now in range(0, 10 * SECOND_US, 1000):
+        refresh.notified(now)
+        if refresh.begin(now):
+            asked += 1
+            refresh.answered(now, True)
+    assert asked == 10 * SECOND_US // LIMITS.zone_notify_us
+
+
+def test_a_notify_during_a_round_is_not_lost() -> None:
+    refresh = Refresh(LIMITS, ["a"], 0)
+    refresh.hold(SOA, 0)
+    refresh.begin(0)
+    refresh.notified(5)
+    refresh.answered(10, True)
+    assert refresh.due_us() == 10 + LIMITS.zone_notify_us
+
+
+def test_times_of_a_silly_soa_are_bounded() -> None:
+    refresh = Refresh(LIMITS, ["a"], 0)
+    refresh.hold(replace(SOA, refresh=0, retry=0), 0)
+    refresh.begin(0)
+    refresh.answered(0, True)
+    assert refresh.due_us() == LIMITS.zone_refresh_least_us
+    refresh.begin(refresh.due_us())
+    refresh.failed(refresh.due_us())
+    assert refresh.due_us() >= 2 * LIMITS.zone_retry_least_us
+    refresh.hold(replace(SOA, refresh=1 << 31), 0)
+    refresh.begin(refresh.due_us())
+    refresh.answered(0, True)
+    assert refresh.due_us() == LIMITS.zone_refresh_most_us
+
+
+# Grants
+
+@pytest.mark.parametrize(("pattern", "owner", "result"), [
+    ("*.a.b.", "x.a.b.", True), ("*.a.b.", "y.x.a.b.", True), ("*.a.b.", "a.b.", False), ("a.b.", "a.b.", True),
+    ("a.b.", "x.a.b.", False), ("*.a.b.", "xa.b.", False), ("*.a.b.", "x\\.a.b.", False)])
+def test_names_of_a_grant(pattern: str, owner: str, result: bool) -> None:
+    assert matches(pattern, owner) is result
+
+
+def test_a_grant_as_it_is_written_and_what_it_refuses() -> None:
+    grant = read_grant("k", ORIGIN, ["*.room-a", "s-1"], ["srv", "A"], 1.0, 0)
+    assert grant.allows_record("_game._tcp.room-a." + ORIGIN, 33)
+    assert not grant.allows_record("_game._tcp.room-b." + ORIGIN, 33)
+    assert not grant.allows_record("s-1." + ORIGIN, 16)
+    assert grant.allows_record(ORIGIN, 6)  # the serial
+    for names, types in ((["s-1.elsewhere."], []), ([], ["HOST"]), (["a..b"], [])):
+        with pytest.raises(BadZone):
+            read_grant("k", ORIGIN, names, types, 1.0, 0)
+
+
+def judged(most: float, taken: int, within_us: int = 0, classes: tuple[HostClass, ...] = ()) -> str:
+    """An update that takes away so many of four hosts, s-0 and s-2 of room-a first."""
+    start = held(zone(1, rooms()))
+    names = ["s-0", "s-2", "s-1", "s-3"][:taken]
+    draft = draft_of(start.head, remove=[r for r in rooms() if any(n in r.owner or n.encode() in r.data
+                                                                   for n in names)])
+    return start.judge(draft.difference(0), Grant("k", most=most, within_us=within_us), classes, 0)
+
+
+def test_how_much_may_be_taken_away() -> None:
+    assert judged(0.5, 2) == ""
+    assert "takes away 3 of 4 ready hosts of the zone" in judged(0.5, 3)
+    assert judged(1.0, 4) == ""
+    assert judged(0.0, 1)
+
+
+def test_a_class_may_not_lose_more_than_its_part_either() -> None:
+    submit = HostClass("move-submit", frozenset({"room-a"}), frozenset())
+    assert "takes away 2 of 2 ready hosts of class move-submit" in judged(0.5, 2, classes=(submit,))
+    assert judged(0.5, 1, classes=(submit,)) == ""
+    assert judged(0.5, 2, classes=(HostClass("x", frozenset({"room-b"}), frozenset()),)) == ""
+
+
+def test_many_small_updates_do_not_add_up_to_a_large_one() -> None:
+    hosts = {f"s-{k}": member(f"s-{k}") for k in range(10)}
+    losses = Losses(LIMITS.zone_losses_us)
+    grant = Grant("k", most=0.3, within_us=60 * SECOND_US)
+    start = held(zone(1, rooms()))
+    nothing = draft_of(start.head).difference(0)
+
+    def take(name: str, now_us: int, to: Member | None = None) -> str:
+        why = refusal(grant, nothing, hosts, {name: to}, losses, (), now_us)
+        if not why:
+            losses.note({name: hosts[name]}, {name: to}, now_us)
+            del hosts[name]
+        return why
+    assert [take(f"s-{k}", k) for k in range(3)] == ["", "", ""]
+    assert "takes away 4 of 10" in take("s-3", 3)
+    assert take("s-3", 60 * SECOND_US + 3) == ""  # what was lost before is no longer counted
+    losses.note({"s-0": None}, {"s-0": member("s-0")}, 60 * SECOND_US + 4)
+    assert losses.since(0).keys() == {"s-1", "s-2", "s-3"}
+
+
+def test_a_drain_counts_as_taking_away_and_putting_back_never_does() -> None:
+    hosts = {"a": member("a"), "b": member("b", phase=Phase.DRAINING)}
+    start = held(zone(1, rooms()))
+    nothing = draft_of(start.head).difference(0)
+    grant = Grant("k", most=0.0)
+    losses = Losses(0)
+    assert refusal(grant, nothing, hosts, {"a": member("a", phase=Phase.DRAINING)}, losses, (), 0)
+    assert refusal(grant, nothing, hosts, {"b": member("b")}, losses, (), 0) == ""
+    assert refusal(grant, nothing, hosts, {"b": None}, losses, (), 0) == ""
+
+
+def test_a_refused_update_leaves_the_head_as_it_was() -> None:
+    start = held(zone(1, rooms()))
+    draft = draft_of(start.head, remove=host("s-0", address="127.0.0.10")[1:])
+    assert start.judge(draft.difference(0), Grant("k", most=0.0), (), 0)
+    assert sorted(start.head.records()) == sorted(start.zone.records())
+    assert start.staged == 0
+
+
+def test_classes_without_a_host_are_named() -> None:
+    classes = (HostClass("any", frozenset(), frozenset()), HostClass("submit", frozenset({"room-a"}), frozenset()),
+               HostClass("big", frozenset(), frozenset({"m8"})))
+    assert bare(classes, [member("s", "room-b")]) == ["submit", "big"]
+    assert bare(classes, [member("s", phase=Phase.DRAINING)]) == ["any", "submit", "big"]
+
+
+# Union
+
+def union(*sources: str, grace_us: int = 2 * SECOND_US) -> Union:
+    return Union(sources or ("z",), grace_us, 100)
+
+
+def test_a_return_within_the_grace_is_the_same_host_and_after_it_a_started_one() -> None:
+    one = union()
+    one.take("z", {"s": member("s", started=5.0)}, 0, 1_000)
+    gone, _ = one.take("z", {"s": None}, 10 * MS, 1_010)
+    assert [m.phase for m in gone] == [Phase.GONE]
+    back, _ = one.take("z", {"s": member("s", started=5.0)}, 60 * MS, 1_060)
+    assert back == [member("s", started=5.0)]
+    one.take("z", {"s": None}, 100 * MS, 1_100)
+    back, _ = one.take("z", {"s": member("s", started=5.0)}, 100 * MS + 2 * SECOND_US + 1, 3_101)
+    assert [m.up_since_ms for m in back] == [3_101.0]
+    drained, _ = one.take("z", {"s": member("s", phase=Phase.DRAINING)}, 9 * SECOND_US, 9_000)
+    assert [(m.phase, m.up_since_ms) for m in drained] == [(Phase.DRAINING, 3_101.0)]
+
+
+def test_a_host_is_there_while_any_zone_names_it_and_drains_if_any_says_so() -> None:
+    both = union("a", "b")
+    both.take("a", {"s": member("s", started=5.0)}, 0, 0)
+    assert both.take("b", {"s": member("s", started=9.0)}, 0, 0)[0] == [member("s", started=9.0)]
+    out, _ = both.take("b", {"s": member("s", phase=Phase.DRAINING)}, 0, 0)
+    assert [m.phase for m in out] == [Phase.DRAINING]
+    assert both.take("a", {"s": None}, 0, 0)[0] != []  # it started long ago now, and drains as before
+    assert both.members["s"].phase is Phase.DRAINING
+    assert [m.phase for m in both.take("b", {"s": None}, 0, 0)[0]] == [Phase.GONE]
+
+
+def test_zones_that_differ_on_a_host_are_told_once_and_the_first_counts() -> None:
+    both = union("a", "b")
+    both.take("b", {"s": member("s", address="10.0.0.2")}, 0, 0)
+    out, conflicts = both.take("a", {"s": member("s", address="10.0.0.1")}, 0, 0)
+    assert [m.address[0] for m in out] == ["10.0.0.1"]
+    assert [(c.host, c.begins) for c in conflicts] == [("s", True)]
+    assert both.take("a", {"s": member("s", address="10.0.0.1", started=1.0)}, 0, 0)[1] == []
+    out, conflicts = both.take("a", {"s": None}, 0, 0)
+    assert [m.address[0] for m in out] == ["10.0.0.2"]
+    assert [c.begins for c in conflicts] == [False]
+
+
+def test_a_change_is_one_change_and_none_moves_no_version() -> None:
+    one = union()
+    out, _ = one.take("z", {f"s-{k}": member(f"s-{k}") for k in range(5)}, 0, 0)
+    assert (len(out), one.version) == (5, 1)
+    assert one.take("z", {"s-0": member("s-0")}, 0, 0) == ([], [])
+    assert one.version == 1
+    out, _ = one.take("z", {f"s-{k}": None for k in range(5)}, 0, 0)
+    assert (len(out), one.version, one.members) == (5, 2, {})
+
+
+phases = st.sampled_from([Phase.READY, Phase.DRAINING])
+steps = st.lists(st.tuples(st.sampled_from("ab"), st.sampled_from("xyz"), st.none() | phases,
+                           st.integers(0, 3 * SECOND_US)), max_size=40)
+
+
+@given(steps)
+@settings(max_examples=200, deadline=None, derandomize=True)
+def test_what_is_told_adds_up_to_the_union(steps: list[tuple[str, str, Phase | None, int]]) -> None:
+    both, now = union("a", "b"), 0
+    said: dict[str, dict[str, Phase]] = {"a": {}, "b": {}}
+    listed: dict[str, Phase] = {}
+    for source, name, phase, wait in steps:
+        now += wait
+        said[source].pop(name, None)
+        if phase is not None:
+            said[source][name] = phase
+        out, _ = both.take(source, {name: member(name, phase=phase) if phase else None}, now, now)
+        for told in out:
+            listed.pop(told.name, None)
+            if told.phase is not Phase.GONE:
+                listed[told.name] = told.phase
+    expected: dict[str, Phase] = {}
+    for name in {*said["a"], *said["b"]}:
+        views = [view[name] for view in said.values() if name in view]
+        expected[name] = Phase.DRAINING if Phase.DRAINING in views else Phase.READY
+    assert listed == expected
+
+
+def test_records_of_tests_are_read_as_written() -> None:
+    assert rec("S-1", "A", "10.0.0.1").owner == "s-1." + ORIGIN
