--- a/kelpcourse/kdl.py
+++ b/kelpcourse/kdl.py
@@ -19,6 +19,7 @@
 import msgspec
 
 B = TypeVar("B", bound="Block")
+WRONG = object()  # a value that was given and can't be used
 
 
 @dataclass(frozen=True)
@@ -51,27 +52,34 @@
         yield from ()
 
 
-def load(path: Path, kind: type[B]) -> B:
-    """Raises BadSettings with every mistake of the file."""
+def load(path: Path, kind: type[B]) -> tuple[B | None, list[Mistake]]:
+    """What could be read and every mistake, so that a caller can go on and add its own. Raises BadSettings if
+    nothing can be read at all."""
     try:
         text = path.read_text(encoding="utf-8")
     except OSError as error:
         raise BadSettings([Mistake(str(path), 0, "file", error.strerror or str(error))]) from None
     except UnicodeDecodeError:
         raise BadSettings([Mistake(str(path), 0, "file", "not UTF-8")]) from None
-    return parse(text, str(path), kind)
+    return read(text, str(path), kind)
 
 
 def parse(text: str, file: str, kind: type[B]) -> B:
+    """Raises BadSettings with every mistake of the text."""
+    made, mistakes = read(text, file, kind)
+    if mistakes or made is None:
+        raise BadSettings(mistakes)
+    return made
+
+
+def read(text: str, file: str, kind: type[B]) -> tuple[B | None, list[Mistake]]:
     try:
         document = ckdl.parse(text, version=2)
     except ckdl.ParseError as error:
         raise BadSettings([Mistake(file, _line_of_error(text), "syntax", str(error))]) from None
     reader = _Reader(file, lines_of(text))
     made = reader.block(kind, (), {}, list(document.nodes), 1, "")
-    if reader.mistakes or made is None:
-        raise BadSettings(sorted(reader.mistakes, key=lambda m: m.line))
-    return made
+    return made, reader.mistakes
 
 
 class _Reader:
@@ -82,10 +90,9 @@
 
     def block(self, kind: type[B], values: Sequence[Any], properties: dict[str, Any], children: list[Any],
               line: int, path: str) -> B | None:
-        """None: mistakes were found in it, all of which are noted."""
+        """A setting that is wrong is noted and left at its default; None: there is none."""
         hints = typing.get_type_hints(kind, include_extras=True)
         fields: dict[str, Any] = {}
-        before = len(self.mistakes)
         for name, value in zip(kind.args, values, strict=False):
             self._value(fields, hints, name, value, line, path)
         for value in values[len(kind.args):]:
@@ -94,12 +101,14 @@
             self._value(fields, hints, name.replace("-", "_"), value, line, path)
         for node in children:
             self._child(fields, hints, node, path)
-        for info in msgspec.structs.fields(kind):
-            if info.required and info.name not in fields:
-                self._note(line, _path(path, info.name), "is missing")
-        if len(self.mistakes) > before:
+        required = [f.name for f in msgspec.structs.fields(kind) if f.required]
+        for name in required:
+            if name not in fields:
+                self._note(line, _path(path, name), "is missing")
+        sound = {name: value for name, value in fields.items() if value is not WRONG}
+        if any(name not in sound for name in required):
             return None
-        made = kind(**{**fields, "line": line})
+        made = kind(**{**sound, "line": line})
         for name, text in made.problems():
             self._note(line, _path(path, name), text)
         return made
@@ -123,7 +132,9 @@
         if node.properties or node.children:
             self._note(line, inner, "holds a value alone" if name in hints else "is not a setting")
         elif name in hints and _repeats(hints[name]):
-            self._value(fields, hints, name, [*fields.get(name, ()), *node.args], line, path, again=True)
+            before = fields.get(name, ())
+            self._value(fields, hints, name, [*(before if before is not WRONG else ()), *node.args], line, path,
+                        again=True)
         elif len(node.args) != 1 and name in hints:
             self._note(line, inner, f"takes one value, has {len(node.args)}")
         else:
@@ -141,6 +152,7 @@
                 fields[name] = msgspec.convert(value, hints[name], strict=True)
             except msgspec.ValidationError as error:
                 self._note(line, field, f"{_plain(error)}, not {value!r:.60}")
+                fields[name] = WRONG
 
     def _note(self, line: int, field: str, text: str) -> None:
         self.mistakes.append(Mistake(self._file, line, field, text))
@@ -239,7 +251,7 @@
 def _line_of_error(text: str) -> int:
     """The first line after which no end of the text would make it sound: open braces are closed for the try.
     A text that only ends too early is wrong in its last line."""
-    lines = text.split("\n")
+    lines = text.rstrip().split("\n")
     for count in range(1, len(lines) + 1):
         part = "\n".join(lines[:count])
         opened = sum({"open": 1, "close": -1}.get(kind, 0) for kind, _ in _tokens(part))
--- a/kelpcourse/limits.py
+++ b/kelpcourse/limits.py
@@ -89,6 +89,8 @@
     zone_retry_least_us: int = 1_000_000
     zone_refresh_most_us: int = 86_400_000_000
     zone_file_us: int = 1_000_000  # between two looks at a zone file
+    zone_command_us: int = 200_000  # between two looks for an operator's command
+    zone_seen_us: int = 60_000_000  # between two notes in the store that a zone was confirmed
     zone_losses_us: int = 3_600_000_000  # for which hosts taken away are remembered
     zone_problems: int = 20  # told by name in one log line
 
--- a/kelpcourse/service/director.py
+++ b/kelpcourse/service/director.py
@@ -11,6 +11,7 @@
 from collections.abc import Callable, Mapping
 from dataclasses import replace
 from functools import partial
+from typing import Protocol
 
 from kelpcourse.facade import Facade, Work
 from kelpcourse.memory.counters import Counters
@@ -23,6 +24,7 @@
 from kelpcourse.service.logs import Log
 from kelpcourse.service.signals import signal_routine
 from kelpcourse.wire.discovery import Discovery
+from kelpcourse.interface import Settings
 from kelpcourse.wire.listener import Listener, listen
 from kelpcourse.wire.loop import Loop, Routine, Signal, Wait
 from kelpcourse.wire.parts import Parts
@@ -31,10 +33,31 @@
 from kelpcourse.wire.stream import Address
 
 BAD_CONFIG = 2
+Keep = Callable[[str, Callable[[], Routine]], None]
+
+
+class Source(Protocol):
+    """Where the list of hosts comes from, if not from discovery."""
+
+    def start(self) -> None: ...
+
+    def close(self) -> None: ...
+
+    def reread(self) -> None: ...
+
+    def watch(self, on: bool) -> None: ...
+
+    def fetch(self) -> None: ...
+
+    def move(self, address: Address) -> None: ...
+
+
+MakeSource = Callable[[Parts, Settings, Keep], Source]
 
 
 class Service:
-    def __init__(self, config: Config, limits: Limits, environment: Mapping[str, str]) -> None:
+    def __init__(self, config: Config, limits: Limits, environment: Mapping[str, str],
+                 make_source: MakeSource | None = None) -> None:
         clock = Clock()
         self._environment = environment
         self._limits = limits
@@ -46,7 +69,8 @@
         self._config = config
         self._outbox = Outbox(limits.orders, limits.marks)
         self._waiting = Signal()
-        self._discovery = Discovery(self._parts, config.discovery, config.known.version)
+        self._source = make_source(self._parts, config.settings, self._keep) if make_source is not None else None
+        self._discovery = self._source or Discovery(self._parts, config.discovery, config.known.version)
         self._probes = Probes(self._parts)
         self._calls = Calls(self._parts, config.relay, self._outbox, self._waiting)
         self._news = NewsReader(self._parts, config.relay, self._outbox, self._waiting)
@@ -56,6 +80,8 @@
         self._log.always("start", pid=os.getpid(), hosts=len(self._config.known.members),
                          proxies=self._config.settings.proxies)
         self._facade.report_known(self._config.known.members, self._config.known.version)
+        if self._source is not None:
+            self._source.start()
         self._loop.start("signals", signal_routine(self._on_signal))
         self._step(self._facade.start)
         self._keep("calls", self._calls.run)
@@ -64,6 +90,8 @@
         while not self._stop:
             self._loop.turn(self._facade.due_us())
             self._step(self._facade.tick)
+        if self._source is not None:
+            self._source.close()
         self._log.always("stop", signal=self._stop, counters=self._counters.snapshot())
         return 0
 
@@ -73,6 +101,8 @@
 
     def _reload(self) -> None:
         """Follows the file to new addresses. Everything else lives on: listener, module, proxies, orders."""
+        if self._source is not None:
+            self._source.reread()
         try:
             new = reread_config(self._environment)
         except BadConfig as error:
@@ -146,7 +176,7 @@
         self._log.always("defect", routine=routine, error="".join(traceback.format_exception(error))[-3000:])
 
 
-def main(environment: Mapping[str, str]) -> int:
+def main(environment: Mapping[str, str], make_source: MakeSource | None = None) -> int:
     try:
         config = read_config(environment)
         check_address(config.listen)
@@ -155,7 +185,8 @@
         return BAD_CONFIG
     os.set_blocking(sys.stdout.fileno(), False)
     granted = resource.getrlimit(resource.RLIMIT_NOFILE)[0]
-    return Service(config, Limits().within(min(config.sockets, granted), config.memory_mb), environment).run()
+    limits = Limits().within(min(config.sockets, granted), config.memory_mb)
+    return Service(config, limits, environment, make_source).run()
 
 
 def check_address(address: Address) -> None:
--- a/kelpcourse/store/frames.py
+++ b/kelpcourse/store/frames.py
@@ -20,7 +20,7 @@
 FRAME = struct.Struct(">2sIQI")
 COVERED = struct.Struct(">IQ")
 MARKER = b"\xc5\x5a"
-PAYLOAD_MOST = 64 << 20  # bytes; a length beyond it is damage and is not waited for
+PAYLOAD_MOST = 256 << 20  # bytes; a length beyond it is damage and is not waited for
 LOOK_AHEAD = 1 << 20  # bytes after damage in which a later record is looked for
 
 
--- a/kelpcourse/wire/buffers.py
+++ b/kelpcourse/wire/buffers.py
@@ -72,6 +72,15 @@
             self.filled(part)
             rest = rest[part:]
 
+    def prefixed(self) -> Iterator[memoryview]:
+        """The whole messages held that stand behind their length in two bytes (RFC 1035, section 4.2.2)."""
+        while self.held >= 2:
+            size = self._bytes[self._start] << 8 | self._bytes[self._start + 1]
+            if self.held < 2 + size:
+                return
+            start, self._start = self._start + 2, self._start + 2 + size
+            yield memoryview(self._bytes)[start:self._start]
+
     def lines(self) -> Iterator[memoryview]:
         """The whole lines held, without their ends."""
         while True:
--- a/kelpcourse/wire/listener.py
+++ b/kelpcourse/wire/listener.py
@@ -13,7 +13,7 @@
 from kelpcourse.wire.fields import BadMessage
 from kelpcourse.wire.loop import READ, Routine, Task, Wait
 from kelpcourse.wire.parts import Parts
-from kelpcourse.wire.stream import Address, Broken, Silent, Stream
+from kelpcourse.wire.stream import Address, Broken, Silent, Stream, family
 from kelpcourse.wire.text import (
     PONG, REFUSED, Collector, Heard, Message, Ping, Unreadable, Usage, check_beginning, parse,
 )
@@ -52,7 +52,7 @@
 
 
 def listen(address: Address) -> socket.socket:
-    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
+    sock = socket.socket(family(address), socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
     try:
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         sock.bind(address)
--- a/kelpcourse/wire/stream.py
+++ b/kelpcourse/wire/stream.py
@@ -68,9 +68,13 @@
             return True
 
 
+def family(address: Address) -> socket.AddressFamily:
+    return socket.AF_INET6 if ":" in address[0] else socket.AF_INET
+
+
 def connect(address: Address, until_us: int) -> Act[Stream]:
     try:
-        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
+        sock = socket.socket(family(address), socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
     except OSError as error:  # descriptors used up: the caller tries again later
         raise Refused(f"no socket: {error.strerror}") from None
     try:
--- a/kelpcourse/zones/book.py
+++ b/kelpcourse/zones/book.py
@@ -44,7 +44,7 @@
     zones: tuple[Kept, ...]
 
 
-Entry = Changed | Seen | Snapshot
+Entry = Changed | Seen | Kept | Snapshot
 _encoder = msgspec.msgpack.Encoder()
 _decoder = msgspec.msgpack.Decoder(Entry)
 
@@ -70,9 +70,12 @@
 
 def snapshot(zones: Iterable[HeldZone], others: Iterable[Kept]) -> bytes:
     """`others`: zones that the store holds and the settings do not name; they are kept."""
-    kept = [Kept(z.origin, tuple(z.zone.records()), tuple(changed(z.origin, d) for d in z.history), z.seen_ms)
-            for z in zones if z.zone.exists]
-    return encode(Snapshot((*kept, *others)))
+    return encode(Snapshot((*(keep(zone) for zone in zones if zone.zone.exists), *others)))
+
+
+def keep(zone: HeldZone) -> Kept:
+    history = tuple(changed(zone.origin, d) for d in zone.history)
+    return Kept(zone.origin, tuple(zone.zone.records()), history, zone.seen_ms)
 
 
 class Replay:
@@ -102,6 +105,8 @@
             case Snapshot(zones):
                 for kept in zones:
                     self._keep(kept)
+            case Kept():
+                self._keep(entry)
             case Changed():
                 zone = self._zone(entry.origin)
                 zone.take(difference(entry), 0)
--- /dev/null
+++ b/kelpcourse/zones/follower.py
@@ -0,0 +1,328 @@
+"""A secondary's side: asks primaries for the SOA, fetches what is newer, and tells secondaries of changes."""
+
+from __future__ import annotations
+
+import socket
+from collections.abc import Callable
+from typing import Any
+
+import dns.exception
+import dns.flags
+import dns.message
+import dns.opcode
+import dns.rcode
+import dns.rdatatype
+import dns.tsig
+import dns.xfr
+
+from kelpcourse.limits import Limits
+from kelpcourse.memory.counters import Counters
+from kelpcourse.wire.buffers import Buffer, TooLong
+from kelpcourse.wire.loop import READ, Loop, Routine, Signal, Wait, Woken
+from kelpcourse.wire.parts import LogLike
+from kelpcourse.wire.stream import Act, Broken, Silent, connect, family
+from kelpcourse.zones.answer import rrset_of
+from kelpcourse.zones.belief import Contradiction, Verdict, Version
+from kelpcourse.zones.content import SOA, Difference, Zone
+from kelpcourse.zones.desk import serial_of
+from kelpcourse.zones.errors import BadZone
+from kelpcourse.zones.held import HeldZone
+from kelpcourse.zones.names import to_name
+from kelpcourse.zones.refresh import Refresh
+from kelpcourse.zones.server import MESSAGE, READ_LEAST
+from kelpcourse.zones.settings import Primary
+from kelpcourse.zones.transfer import AXFR, IXFR, Incoming, Unfit, check_fits, offered
+
+TOLD = (dns.exception.DNSException, ValueError, IndexError)
+ASK_TRIES = 2  # over UDP before TCP is tried
+
+
+class Asker:
+    """Questions to other servers."""
+
+    def __init__(self, loop: Loop, limits: Limits, counters: Counters, log: LogLike) -> None:
+        self.loop = loop
+        self.limits = limits
+        self.counters = counters
+        self.log = log
+
+    def ask(self, query: dns.message.Message, peer: Primary) -> Act[dns.message.Message]:
+        """The answer over UDP, or over TCP where UDP brings none. Raises Broken or BadZone."""
+        for _ in range(ASK_TRIES):
+            message = yield from self.ask_udp(query, peer)
+            if message is not None and not message.flags & dns.flags.TC:
+                return message
+            if message is not None:
+                break
+        session = Session(self, peer, query)
+        try:
+            yield from session.open()
+            return (yield from session.next())[1]
+        finally:
+            session.close()
+
+    def ask_udp(self, query: dns.message.Message, peer: Primary) -> Act[dns.message.Message | None]:
+        """None: no answer came. The port is fresh, and a connected socket hears its peer alone; what comes from
+        there with another id, question or signature is somebody's guess, and the true answer is waited for."""
+        try:
+            sock = socket.socket(family(peer.address), socket.SOCK_DGRAM | socket.SOCK_NONBLOCK)
+        except OSError as error:
+            raise Broken(f"no socket: {error.strerror}") from None
+        try:
+            sock.connect(peer.address)
+            sock.send(query.to_wire())
+            until_us = self.loop.clock() + self.limits.zone_ask_us
+            while (yield Wait(until_us, sock.fileno(), READ)) is not Woken.LATE:
+                message = self._believed(sock.recv(65_535), query, peer)
+                if message is not None:
+                    return message
+                self.counters.add("zone_answers_forged")
+            return None
+        except OSError:  # nobody listens there
+            return None
+        finally:
+            sock.close()
+
+    def _believed(self, wire: bytes, query: dns.message.Message, peer: Primary) -> dns.message.Message | None:
+        try:
+            message = read_answer(wire, query, peer)
+            return message if query.is_response(message) else None
+        except TOLD:
+            return None
+
+
+def read_answer(wire: bytes, query: dns.message.Message, peer: Primary, context: Any = None,
+                multi: bool = False) -> dns.message.Message:
+    """An answer with its signature checked, if the question had one. Raises what dnspython does."""
+    ring = {peer.key.name: peer.key} if peer.key is not None else None
+    message = dns.message.from_wire(wire, keyring=ring, request_mac=query.mac or b"", one_rr_per_rrset=True,
+                                    tsig_ctx=context, multi=multi, xfr=multi)
+    if peer.key is not None and not multi and not message.had_tsig:
+        raise BadZone("an unsigned answer to a signed question")
+    return message
+
+
+def question(origin: str, rdtype: dns.rdatatype.RdataType, peer: Primary) -> dns.message.Message:
+    query = dns.message.make_query(to_name(origin), rdtype, flags=0)
+    if peer.key is not None:
+        query.use_tsig(peer.key)
+    return query
+
+
+class Session:
+    """A question over TCP and the messages that answer it."""
+
+    def __init__(self, asker: Asker, peer: Primary, query: dns.message.Message) -> None:
+        self._asker = asker
+        self._peer = peer
+        self._query = query
+        self._buffer = Buffer(READ_LEAST, MESSAGE)
+        self._stream: Any = None
+        self._context: Any = None
+
+    def open(self) -> Act[None]:
+        clock, limits = self._asker.loop.clock, self._asker.limits
+        self._stream = yield from connect(self._peer.address, clock() + limits.zone_ask_us)
+        wire = self._query.to_wire()
+        yield from self._stream.send(len(wire).to_bytes(2, "big") + wire, clock() + limits.send_us)
+
+    def next(self) -> Act[tuple[bytes, dns.message.Message]]:
+        """Raises Broken or BadZone."""
+        limits = self._asker.limits
+        until_us = self._asker.loop.clock() + limits.zone_silence_us
+        while True:
+            for slice_ in self._buffer.prefixed():
+                return self._read(bytes(slice_))
+            try:
+                room = self._buffer.space()
+            except TooLong:
+                raise Broken("a message over its limit") from None
+            count = yield from self._stream.recv_into(room, until_us)
+            if not count:
+                raise Broken("closed before the end")
+            self._buffer.filled(count)
+
+    def _read(self, wire: bytes) -> tuple[bytes, dns.message.Message]:
+        multi = self._query.question[0].rdtype in (AXFR, IXFR)
+        try:
+            message = read_answer(wire, self._query, self._peer, self._context, multi)
+        except TOLD as error:
+            raise BadZone(f"an answer that can't be used: {type(error).__name__}: {error}") from None
+        if message.id != self._query.id or not message.flags & dns.flags.QR:
+            raise BadZone("an answer to another question")
+        self._context = message.tsig_ctx
+        return wire, message
+
+    def close(self) -> None:
+        if self._stream is not None:
+            self._stream.close()
+
+
+class Follower:
+    """Keeps one zone up with its primaries."""
+
+    def __init__(self, asker: Asker, held: HeldZone, primaries: tuple[Primary, ...], confirmed_us: int,
+                 adopt: Callable[[HeldZone, Difference, str], None], confirmed: Callable[[HeldZone], None],
+                 expired: Callable[[HeldZone], None]) -> None:
+        self._asker = asker
+        self._held = held
+        self._primaries = {str(p): p for p in primaries}
+        self._refresh = Refresh(asker.limits, list(self._primaries), asker.loop.clock())
+        if held.zone.exists:
+            self._refresh.hold(held.zone.soa, confirmed_us)
+        self._adopt = adopt
+        self._confirmed = confirmed
+        self._expired = expired
+        self._notified = Signal()
+
+    def notified(self) -> None:
+        self._refresh.notified(self._asker.loop.clock())
+        self._notified.raise_()
+
+    def run(self) -> Routine:
+        clock = self._asker.loop.clock
+        while True:
+            self._check_expiry()
+            name = self._refresh.begin(clock())
+            if name is None:
+                ends = None if self._held.belief.expired else self._refresh.expires_us()
+                yield Wait(min(self._refresh.due_us(), ends if ends is not None else self._refresh.due_us()),
+                           signal=self._notified)
+                self._notified.lower()
+                continue
+            yield from self._round(self._primaries[name])
+
+    def _check_expiry(self) -> None:
+        if self._refresh.expired(self._asker.loop.clock()) and not self._held.belief.expired:
+            self._held.belief.expire()
+            self._expired(self._held)
+
+    def _round(self, peer: Primary) -> Act[None]:
+        log, clock = self._asker.log, self._asker.loop.clock
+        try:
+            verdict = yield from self._follow(peer)
+        except (Broken, BadZone, dns.xfr.UseTCP) as error:
+            self._asker.counters.add("zone_asks_failed")
+            self._tell(self._held.belief.forget(str(peer)) if isinstance(error, Silent) else [])
+            log.event("zone_ask_failed", zone=self._held.origin, primary=str(peer), reason=str(error))
+            self._refresh.failed(clock())
+            return
+        if verdict.contradicts:
+            self._refresh.failed(clock())  # another primary may know better
+            return
+        if self._held.zone.exists:
+            self._refresh.hold(self._held.zone.soa, clock())
+        self._refresh.answered(clock(), True)
+        self._confirmed(self._held)
+
+    def _follow(self, peer: Primary) -> Act[Verdict]:
+        """Asks for the SOA; fetches the zone if that is newer. What it makes of the version."""
+        self._asker.counters.add("zone_asks")
+        query = question(self._held.origin, dns.rdatatype.SOA, peer)
+        message = yield from self._asker.ask(query, peer)
+        told = serial_of(message, self._held.origin)
+        if message.rcode() != dns.rcode.NOERROR or told is None:
+            raise BadZone(f"no SOA of {self._held.origin}: {dns.rcode.to_text(message.rcode())}")
+        verdict, contradictions = self._held.belief.offer(str(peer), Version(*told))
+        self._tell(contradictions)
+        if verdict is Verdict.NEWER:
+            return (yield from self._fetch(peer))
+        return verdict
+
+    def _fetch(self, peer: Primary) -> Act[Verdict]:
+        held = self._held
+        if held.zone.exists and not held.belief.expired:
+            try:
+                return (yield from self._transfer(peer, IXFR))
+            except (Unfit, BadZone, Broken) as error:
+                self._asker.counters.add("zone_ixfr_failed")
+                self._asker.log.event("zone_ixfr_failed", zone=held.origin, primary=str(peer), reason=str(error))
+        return (yield from self._transfer(peer, AXFR))
+
+    def _transfer(self, peer: Primary, rdtype: dns.rdatatype.RdataType) -> Act[Verdict]:
+        held, clock, limits = self._held, self._asker.loop.clock, self._asker.limits
+        query = question(held.origin, rdtype, peer)
+        if rdtype == IXFR:
+            query.authority.append(rrset_of(held.origin, SOA, 0, (held.zone.soa_data,)))
+        incoming = Incoming(held.zone, query, rdtype, False, limits)
+        session = Session(self._asker, peer, query)
+        until_us = clock() + limits.zone_transfer_us
+        try:
+            yield from session.open()
+            while not incoming.take(*(yield from session.next())):
+                if clock() > until_us:
+                    raise Silent("the transfer took too long")
+        finally:
+            session.close()
+        return self._take(peer, incoming)
+
+    def _take(self, peer: Primary, incoming: Incoming) -> Verdict:
+        """The version that came is judged by itself: behind one address may stand several servers."""
+        zone, draft = incoming.result()
+        version = offered(zone, draft)
+        if version is None:
+            raise BadZone("the transfer brought nothing newer")
+        verdict, contradictions = self._held.belief.offer(str(peer), version)
+        self._tell(contradictions)
+        if verdict is not Verdict.NEWER:
+            return verdict
+        at_ms = 0
+        if zone is not None:
+            check_fits(zone)
+            difference = self._held.replace(zone, at_ms)
+        else:
+            assert draft is not None
+            difference = draft.difference(at_ms)
+        self._asker.counters.add("zone_transfers_in")
+        self._adopt(self._held, difference, str(peer))
+        return verdict
+
+    def _tell(self, contradictions: list[Contradiction]) -> None:
+        for c in contradictions:
+            self._asker.counters.add("zone_contradictions", int(c.begins))
+            self._asker.log.always("zone_contradicted" if c.begins else "zone_contradiction_over",
+                                   zone=self._held.origin, primary=c.source, verdict=c.verdict.value,
+                                   held=c.held, offered=c.offered)
+
+
+class Notifier:
+    """Tells one secondary of each new version, until it says that it heard (RFC 1996, section 3.6)."""
+
+    def __init__(self, asker: Asker, held: HeldZone, peer: Primary) -> None:
+        self._asker = asker
+        self._held = held
+        self._peer = peer
+        self._changed = Signal()
+
+    def changed(self) -> None:
+        self._changed.raise_()
+
+    def run(self) -> Routine:
+        while True:
+            yield Wait(signal=self._changed)
+            self._changed.lower()
+            yield from self._tell()
+
+    def _tell(self) -> Act[None]:
+        wait_us = self._asker.limits.zone_notify_wait_us
+        for _ in range(self._asker.limits.zone_notify_tries):
+            query = question(self._held.origin, dns.rdatatype.SOA, self._peer)
+            query.set_opcode(dns.opcode.NOTIFY)
+            query.flags |= dns.flags.AA
+            query.answer.append(rrset_of(self._held.origin, SOA, 0, (self._held.zone.soa_data,)))
+            self._asker.counters.add("zone_notifies")
+            try:
+                if (yield from self._asker.ask_udp(query, self._peer)) is not None:
+                    return
+            except Broken:
+                pass
+            woken = yield Wait(self._asker.loop.clock() + wait_us, signal=self._changed)
+            if woken is Woken.SIGNALLED:
+                return
+            wait_us *= 2
+        self._asker.log.event("zone_notify_failed", zone=self._held.origin, secondary=str(self._peer))
+
+
+def same(old: Zone, new: Zone) -> bool:
+    """Whether two versions hold the same records, whatever their serials."""
+    return {r for r in old.records() if r.type != SOA} == {r for r in new.records() if r.type != SOA}
--- /dev/null
+++ b/kelpcourse/zones/offline.py
@@ -0,0 +1,144 @@
+"""What commands do with zones when no server runs, or by a word to the one that does."""
+
+from __future__ import annotations
+
+import os
+import time
+from collections.abc import Iterable, Sequence
+from dataclasses import dataclass
+from pathlib import Path
+
+import msgspec
+
+from kelpcourse.limits import Limits
+from kelpcourse.memory.counters import Counters
+from kelpcourse.memory.hosts import Member
+from kelpcourse.service.clock import Clock
+from kelpcourse.store.folder import Folder, InUse
+from kelpcourse.store.recovery import recover
+from kelpcourse.wire.loop import Loop
+from kelpcourse.zones.book import Replay
+from kelpcourse.zones.errors import BadZone
+from kelpcourse.zones.held import HeldZone
+from kelpcourse.zones.names import read_name
+from kelpcourse.zones.service import Around, Restore, Restored, Zones, write_whole
+from kelpcourse.zones.settings import ZonesSettings, shown
+from kelpcourse.zones.standalone import kept
+from kelpcourse.zones.union import Union
+from kelpcourse.zones.zonefile import read_file
+
+ANSWER_S = 10.0  # for a server to carry a command out
+READ_TRIES = 5  # of a folder that a server compacts meanwhile
+
+
+@dataclass(frozen=True)
+class Checked:
+    hosts: list[Member]
+    problems: list[str]
+
+
+def check_file(path: Path, origin: str, service: str, limits: Limits) -> Checked:
+    """The hosts that a zone file announces, and each record that can't be used. Raises BadZone if none can."""
+    held = HeldZone(read_name(origin, "origin"), service, limits)
+    held.take(held.replace(read_file(path, held.origin, limits), 0), 0)
+    return Checked(sorted(held.meaning.hosts.values(), key=lambda m: m.name),
+                   [f"{path}: {problem}" for problem in held.meaning.problems()])
+
+
+def read_state(settings: ZonesSettings, state: Path, limits: Limits) -> Replay:
+    """What the folder holds, read beside a server that may be writing there. Raises BadZone or OSError."""
+    folder = Folder(state)
+    for attempt in range(READ_TRIES):
+        try:
+            found = recover(folder.names(), folder.read)
+            break
+        except FileNotFoundError:
+            if attempt == READ_TRIES - 1 or not state.is_dir():
+                raise
+    replay = Replay([zone.origin for zone in settings.zones], settings.service, limits)
+    replay.run(found.snapshot, (record.payload for record in found.records))
+    return replay
+
+
+def hosts_of(zones: Iterable[HeldZone]) -> list[Member]:
+    """The list as the decision module would be told it."""
+    known = list(zones)
+    union = Union([zone.origin for zone in known], 0, 1 << 20)
+    for zone in known:
+        union.take(zone.origin, dict(zone.meaning.hosts), 0, 0)
+    return sorted(union.members.values(), key=lambda m: m.name)
+
+
+def entry(member: Member) -> dict[str, object]:
+    """As discovery has it."""
+    since = int(member.up_since_ms) if member.up_since_ms.is_integer() else member.up_since_ms
+    return {"id": member.name, "host_port": shown(member.address), "locality": member.zone, "flavor": member.kind,
+            "cell": member.cell, "phase": member.phase.value, "size": member.size, "up_since_ms": since}
+
+
+def restore(settings: ZonesSettings, origin: str, serial: int) -> Restored:
+    """By the server that runs on this state, or, if none does, here. Raises BadZone or OSError."""
+    if settings.state is None:
+        raise BadZone("the settings name no state: no former version is kept")
+    command = Restore(read_name(origin, "ORIGIN"), serial)
+    folder = Folder(settings.state)
+    try:
+        folder.lock()
+    except InUse:
+        return _by_server(settings.state, command)
+    folder.close()
+    return _by_ourselves(settings, command)
+
+
+def _by_server(state: Path, command: Restore) -> Restored:
+    name = f"{os.getpid()}-{time.monotonic_ns()}.json"
+    write_whole(state / f"command-{name}", msgspec.json.encode(command))
+    answer = state / f"answer-{name}"
+    ends = time.monotonic() + ANSWER_S
+    while not answer.exists():
+        if time.monotonic() > ends:
+            (state / f"command-{name}").unlink(missing_ok=True)
+            raise BadZone(f"the server that holds {state} did not answer within {ANSWER_S:.0f} s")
+        time.sleep(0.02)
+    restored = msgspec.json.decode(answer.read_bytes(), type=Restored)
+    answer.unlink()
+    return restored
+
+
+class _Quiet:
+    """A log and a reader of lists for a short-lived service."""
+
+    def event(self, name: str, **fields: object) -> None:
+        pass
+
+    always = event
+
+    def listed(self, members: Sequence[Member], version: int, whole: bool) -> None:
+        pass
+
+    def lost(self) -> None:
+        pass
+
+
+def _by_ourselves(settings: ZonesSettings, command: Restore) -> Restored:
+    """The service itself, without listening and asking, until the command is carried out."""
+    alone = ZonesSettings(settings.path, None, settings.state, settings.service, settings.keys, settings.zones)
+    quiet, limits, failed = _Quiet(), Limits(), list[Exception]()
+    loop = Loop(Clock(), lambda _, error: failed.append(error))
+    around = Around(loop, limits, Counters(), quiet, lambda name, make: None)
+    zones = Zones(alone, around, quiet)
+    answers: list[Restored] = []
+    try:
+        zones.start_store(lambda name, make: loop.start(
+            name, kept(loop, limits, name, make, lambda _, error: failed.append(error))))
+        while zones.settling:
+            loop.turn(None)
+        zones.restore(command, answers.append)
+        while not answers and not failed:
+            loop.turn(None)
+    finally:
+        loop.close()
+        zones.close()
+    if failed:
+        raise failed[0]
+    return answers[0]
--- /dev/null
+++ b/kelpcourse/zones/service.py
@@ -0,0 +1,413 @@
+"""Zones as a running part: store, server, followers and files round the zones held, and one list out of them."""
+
+from __future__ import annotations
+
+import os
+import time
+from collections.abc import Callable, Iterable, Sequence
+from dataclasses import dataclass, replace
+from pathlib import Path
+from typing import Protocol
+
+import msgspec
+
+from kelpcourse.limits import Limits
+from kelpcourse.memory.counters import Counters
+from kelpcourse.memory.hosts import Member
+from kelpcourse.store.commit import Settled
+from kelpcourse.store.folder import Folder
+from kelpcourse.store.journal import Journal
+from kelpcourse.store.writer import Thread, Writer
+from kelpcourse.wire.loop import Loop, Routine, Signal, Wait
+from kelpcourse.wire.parts import LogLike
+from kelpcourse.zones.belief import Verdict, Version
+from kelpcourse.zones.book import Entry, Replay, Seen, changed, encode, keep, snapshot
+from kelpcourse.zones.content import Difference
+from kelpcourse.zones.desk import Desk, Ticket
+from kelpcourse.zones.errors import BadZone
+from kelpcourse.zones.follower import Asker, Follower, Notifier, same
+from kelpcourse.zones.grants import Grant, HostClass, bare
+from kelpcourse.zones.held import Changes, HeldZone
+from kelpcourse.zones.history import put_back
+from kelpcourse.zones.server import Server, pair
+from kelpcourse.zones.settings import ZoneSettings, ZonesSettings, shown
+from kelpcourse.zones.union import Conflict, Union
+from kelpcourse.zones.zonefile import read_file
+
+
+class Sink(Protocol):
+    """Who is steered by the list."""
+
+    def listed(self, members: Sequence[Member], version: int, whole: bool) -> None: ...
+
+    def lost(self) -> None: ...
+
+
+@dataclass(frozen=True)
+class Around:
+    """What the part is handed."""
+
+    loop: Loop
+    limits: Limits
+    counters: Counters
+    log: LogLike
+    keep: Callable[[str, Callable[[], Routine]], None]  # runs a routine that may not end
+
+
+class Zones:
+    """Made and started by whoever hosts it. Raises BadSettings, InUse, BadZone or OSError at the start; later
+    trouble is logged and lived with."""
+
+    def __init__(self, settings: ZonesSettings, around: Around, sink: Sink, classes: tuple[HostClass, ...] = (),
+                 grace_us: int = 0) -> None:
+        self.settings = settings
+        self.classes = classes
+        self._around = around
+        self._sink = sink
+        self._by_origin = {zone.origin: zone for zone in settings.zones}
+        self._writer: Writer[Ticket | Saved] | None = None
+        replay = self._open_store()
+        self.held = replay.zones
+        self._others = replay.others()
+        self.union = Union(list(self.held), grace_us, around.limits.names)
+        self._bare: set[str] = set()
+        self._unsaved: set[str] = set()  # zones whose last version the store does not have
+        self._seen_us: dict[str, int] = {}
+        self._followers: dict[str, Follower] = {}
+        self._notifiers: dict[str, list[Notifier]] = {origin: [] for origin in self.held}
+        self._files: dict[str, tuple[int, ...]] = {}  # as a file last was
+        self._look = Signal()
+        self.server: Server | None = None
+
+    # Start
+
+    def _open_store(self) -> Replay:
+        around, settings = self._around, self.settings
+        replay = Replay([zone.origin for zone in settings.zones], settings.service, around.limits)
+        if settings.state is None:
+            return replay
+        journal = Journal(Folder(settings.state))
+        began = time.monotonic()
+        found = journal.open()
+        replay.run(found.snapshot, (record.payload for record in found.records))
+        for remark in found.remarks:
+            around.log.always("store_remark", file=remark.file, what=remark.what, lost_bytes=remark.lost_bytes,
+                              alarming=remark.alarming)
+        for text in replay.remarks:
+            around.log.always("store_remark", file="", what=text, lost_bytes=0, alarming=True)
+        around.log.always("store_open", changes=len(found.records), took_ms=round((time.monotonic() - began) * 1e3))
+        self._writer = Writer(around.loop, around.limits, journal, found, Thread(), self._snapshot, self._settled,
+                              self._store_failed)
+        return replay
+
+    def start(self) -> None:
+        """What the store and the files hold is announced before anybody is answered."""
+        around = self._around
+        for held in self.held.values():
+            if held.zone.exists:
+                self._announce(held, dict(held.meaning.hosts))
+        for origin, zone in self._by_origin.items():
+            if zone.file is not None:
+                self._read_file(zone)
+            if zone.primaries:
+                self._follow(origin, zone)
+            for peer in zone.notify:
+                notifier = Notifier(self._asker(), self.held[origin], peer)
+                self._notifiers[origin].append(notifier)
+                around.keep("zone notify", notifier.run)
+        self.start_store(around.keep)
+        if self._writer is not None:
+            around.keep("zone commands", self._run_commands)
+        if any(zone.file is not None for zone in self._by_origin.values()):
+            around.keep("zone files", self._run_files)
+        if self.settings.listen is not None:
+            self._serve()
+
+    def start_store(self, keep: Callable[[str, Callable[[], Routine]], object]) -> None:
+        if self._writer is not None:
+            keep("store", self._writer.run)
+
+    @property
+    def settling(self) -> bool:
+        """Whether the store can't take a change yet, though it may soon."""
+        return self._writer is not None and self._writer.broken and not self._around.counters["store_failures"]
+
+    def _asker(self) -> Asker:
+        return Asker(self._around.loop, self._around.limits, self._around.counters, self._around.log)
+
+    def _serve(self) -> None:
+        around = self._around
+        assert self.settings.listen is not None
+        desk = Desk(self.held, self._by_origin, self.settings.keys, around.limits, around.counters, around.log, self)
+        self.server = Server(around.loop, around.limits, around.counters, around.log, desk,
+                             pair(self.settings.listen))
+        around.keep("dns udp", self.server.run_udp)
+        around.keep("dns tcp", self.server.run_tcp)
+        around.log.always("dns_ready", listen=shown(self.server.address))
+
+    def _follow(self, origin: str, zone: ZoneSettings) -> None:
+        held, around = self.held[origin], self._around
+        confirmed_us = around.loop.clock() - max(0, self.unix_ms() - held.seen_ms) * 1000
+        follower = Follower(self._asker(), held, zone.primaries, confirmed_us, self._adopt, self._confirmed,
+                            self._expired)
+        self._followers[origin] = follower
+        around.keep("zone follow", follower.run)
+
+    def close(self) -> None:
+        if self.server is not None:
+            self.server.close()
+        if self._writer is not None:
+            self._writer.close()
+
+    # What the desk asks
+
+    def clock(self) -> int:
+        return self._around.loop.clock()
+
+    def unix_ms(self) -> int:
+        return time.time_ns() // 1_000_000
+
+    def stage(self, ticket: Ticket) -> bool:
+        if self._writer is None or self._writer.waiting >= self._around.limits.dns_updates:
+            return False
+        if ticket.zone.origin in self._unsaved:
+            self._save(ticket.zone, keep(ticket.zone))
+            if ticket.zone.origin in self._unsaved:
+                return False
+        return self._writer.stage(encode(changed(ticket.zone.origin, ticket.difference)), ticket)
+
+    def notified(self, origin: str) -> None:
+        self._followers[origin].notified()
+
+    # Changes
+
+    def _settled(self, settled: Settled[Ticket | Saved]) -> None:
+        for ticket in settled.durable:
+            if isinstance(ticket, Ticket):
+                self._announce(ticket.zone, ticket.zone.settle(ticket.difference, self.clock()))
+                ticket.settle(True)
+        for ticket in reversed(settled.undone):
+            if isinstance(ticket, Ticket):
+                ticket.zone.undo(ticket.difference)
+                ticket.settle(False)
+            else:
+                self._unsaved.add(ticket.origin)
+
+    def _store_failed(self, reason: str, broken: bool) -> None:
+        self._around.counters.add("store_failures")
+        self._around.log.event("store_failed", reason=reason, turns_away=broken)
+
+    def _snapshot(self) -> bytes:
+        return snapshot(self.held.values(), self._others)
+
+    def _adopt(self, held: HeldZone, difference: Difference, source: str) -> None:
+        """A version that came whole from its source and can be had there again: announced at once, and kept as
+        soon as the disk takes it."""
+        difference = replace(difference, at_ms=self.unix_ms())
+        changes = held.take(difference, self.clock())
+        held.drop_head()
+        held.seen_ms = self.unix_ms()
+        self._around.log.always("zone_version", zone=held.origin, serial=held.zone.serial, source=source,
+                                records=len(held.zone), hosts=len(held.meaning.hosts))
+        self._announce(held, changes)
+        self._save(held, changed(held.origin, difference))
+
+    def _save(self, held: HeldZone, entry: Entry) -> None:
+        """Keeps a version that is announced already. Once that has failed, only the whole zone follows on from
+        what the store has."""
+        if self._writer is None:
+            return
+        origin = held.origin
+        if origin in self._unsaved:
+            entry = keep(held)
+        self._unsaved.add(origin)
+        if self._writer.stage(encode(entry), Saved(origin)):
+            self._unsaved.discard(origin)
+
+    def _announce(self, held: HeldZone, changes: Changes) -> None:
+        """One change of the list, however many hosts it concerns."""
+        origin, around = held.origin, self._around
+        members, conflicts = self.union.take(origin, changes, self.clock(), self.unix_ms())
+        became_whole = self.union.loaded(origin)
+        self._tell_conflicts(conflicts)
+        self._tell_problems(held)
+        for notifier in self._notifiers[origin]:
+            notifier.changed()
+        around.counters.add("zone_changes")
+        if became_whole:
+            self._sink.listed(list(self.union.members.values()), self.union.version, True)
+        elif members:
+            self._sink.listed(members, self.union.version, False)
+        self._check_bare()
+
+    def _tell_conflicts(self, conflicts: Iterable[Conflict]) -> None:
+        for conflict in conflicts:
+            self._around.log.event("zone_conflict" if conflict.begins else "zone_conflict_over",
+                                   host=conflict.host, zones=conflict.sources)
+
+    def _tell_problems(self, held: HeldZone) -> None:
+        problems = held.meaning.problems()
+        if problems:
+            most = self._around.limits.zone_problems
+            self._around.log.event("zone_records_skipped", zone=held.origin, count=len(problems),
+                                   problems=[str(p) for p in problems[:most]])
+
+    def _check_bare(self) -> None:
+        """Nothing is held back for it, but somebody must be told."""
+        now = set(bare(self.classes, self.union.members.values()))
+        if now != self._bare:
+            self._around.log.always("zone_classes_bare", classes=sorted(now), were=sorted(self._bare))
+            self._bare = now
+
+    def _confirmed(self, held: HeldZone) -> None:
+        now_us = self.clock()
+        held.seen_ms = self.unix_ms()
+        was_available = self.union.available
+        self.union.loaded(held.origin)
+        if not was_available:
+            self._sink.listed(list(self.union.members.values()), self.union.version, self.union.whole)
+        if now_us - self._seen_us.get(held.origin, -1 << 62) >= self._around.limits.zone_seen_us:
+            self._seen_us[held.origin] = now_us
+            self._save(held, Seen(held.origin, held.seen_ms))
+
+    def _expired(self, held: HeldZone) -> None:
+        self._around.counters.add("zone_expiries")
+        self._around.log.always("zone_expired", zone=held.origin, serial=held.zone.serial,
+                                hosts=len(held.meaning.hosts))
+        was = self.union.available
+        self.union.lost(held.origin)
+        if was and not self.union.available:
+            self._sink.lost()
+
+    # Files
+
+    def reread(self) -> None:
+        """Files are looked at now, changed or not: an operator asked for it."""
+        self._files.clear()
+        self._look.raise_()
+
+    def _run_files(self) -> Routine:
+        while True:
+            yield Wait(self.clock() + self._around.limits.zone_file_us, signal=self._look)
+            self._look.lower()
+            for zone in self._by_origin.values():
+                if zone.file is not None and not self.held[zone.origin].staged:
+                    self._read_file(zone)
+
+    def _read_file(self, zone: ZoneSettings) -> None:
+        assert zone.file is not None
+        state = _state_of(zone.file)
+        if state == self._files.get(zone.origin):
+            return
+        self._files[zone.origin] = state
+        try:
+            self._take_file(zone, zone.file)
+        except BadZone as error:  # the zone that stands serves on
+            self._around.counters.add("zone_files_bad")
+            self._around.log.always("zone_file_bad", zone=zone.origin, reason=str(error))
+
+    def _take_file(self, zone: ZoneSettings, path: Path) -> None:
+        held = self.held[zone.origin]
+        new = read_file(path, zone.origin, self._around.limits)
+        verdict, contradictions = held.belief.offer("file", Version(new.serial, new.soa_data))
+        if verdict is Verdict.NEWER:
+            self._adopt(held, held.replace(new, 0), str(path))
+            return
+        if verdict is Verdict.SAME and same(held.zone, new):
+            return
+        # Updates have moved a zone on since its file was written: that is how it is, and needs no word.
+        if verdict is Verdict.BEHIND and zone.grants and new.serial in held.history.serials():
+            return
+        if contradictions or verdict is Verdict.SAME:
+            text = "other records under the serial held" if verdict is Verdict.SAME else verdict.value
+            raise BadZone(f"{path}: serial {new.serial} is not believed beside {held.zone.serial}: {text}")
+
+    # Commands
+
+    def _run_commands(self) -> Routine:
+        """Orders of somebody who may write into the folder of the state, which is its owner's alone."""
+        assert self.settings.state is not None
+        while True:
+            yield Wait(self.clock() + self._around.limits.zone_command_us)
+            for path in sorted(self.settings.state.glob("command-*.json")):
+                self._command(path)
+
+    def _command(self, path: Path) -> None:
+        def answer(restored: Restored) -> None:
+            write_whole(path.with_name(path.name.replace("command-", "answer-")), msgspec.json.encode(restored))
+        try:
+            command = msgspec.json.decode(path.read_bytes(), type=Restore)
+            path.unlink()
+        except (OSError, msgspec.DecodeError) as error:
+            path.unlink(missing_ok=True)
+            answer(Restored(error=f"a command that can't be read: {error}"))
+            return
+        self.restore(command, answer)
+
+    def restore(self, command: Restore, answer: Callable[[Restored], None]) -> None:
+        """Puts a zone back as it was, as its next version; `answer` hears once that is durable or can't be."""
+        held = self.held.get(command.origin)
+        if held is None:
+            answer(Restored(error=f"no zone {command.origin} is in the settings"))
+            return
+        if self._by_origin[command.origin].primaries:
+            answer(Restored(error=f"{command.origin} follows a primary: put it back there"))
+            return
+        if held.staged:
+            answer(Restored(error="updates are under way: try again"))
+            return
+        try:
+            difference = put_back(held.zone, held.history, command.serial, self.unix_ms())
+        except BadZone as error:
+            answer(Restored(error=str(error)))
+            return
+
+        def settle(durable: bool) -> None:
+            if durable:
+                self._around.counters.add("zone_restores")
+                self._around.log.always("zone_restored", zone=held.origin, as_at=command.serial,
+                                        serial=held.zone.serial, hosts=len(held.meaning.hosts))
+            answer(Restored(held.zone.serial, len(held.meaning.hosts)) if durable
+                   else Restored(error="the state can't be written"))
+        held.judge(difference, Grant(""), (), self.clock())
+        if not self.stage(Ticket(held, difference, settle)):
+            held.undo(difference)
+            settle(False)
+
+
+@dataclass(frozen=True)
+class Saved:
+    """The ticket of a version that is announced already."""
+
+    origin: str
+
+
+class Restore(msgspec.Struct, frozen=True):
+    origin: str
+    serial: int
+
+
+class Restored(msgspec.Struct, frozen=True):
+    """What came of it; `error` is empty if it was done."""
+
+    serial: int = 0
+    hosts: int = 0
+    error: str = ""
+
+
+def _state_of(path: Path) -> tuple[int, ...]:
+    """What tells one content of a file from another; empty: it is not there."""
+    try:
+        stat = path.stat()
+    except OSError:
+        return ()
+    return stat.st_mtime_ns, stat.st_size, stat.st_ino
+
+
+def write_whole(path: Path, data: bytes) -> None:
+    """A file that others see whole or not at all."""
+    part = path.with_name(f"{path.name}.tmp")
+    with open(os.open(part, os.O_WRONLY | os.O_CREAT | os.O_TRUNC, 0o600), "wb") as file:
+        file.write(data)
+    os.rename(part, path)
+
--- /dev/null
+++ b/kelpcourse/zones/source.py
@@ -0,0 +1,62 @@
+"""Zones in place of discovery: the list that steers a director, told through the same door."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Sequence
+
+from kelpcourse.interface import Settings
+from kelpcourse.memory.hosts import Member
+from kelpcourse.wire.loop import Routine
+from kelpcourse.wire.parts import Parts
+from kelpcourse.wire.stream import Address
+from kelpcourse.zones.grants import HostClass
+from kelpcourse.zones.service import Around, Zones
+from kelpcourse.zones.settings import ZonesSettings
+
+
+class ZoneSource:
+    """Answers the module's calls for the list as discovery does. Changes are told as they come, asked for or not:
+    nothing of the network lies between."""
+
+    def __init__(self, parts: Parts, settings: Settings, zones: ZonesSettings,
+                 keep: Callable[[str, Callable[[], Routine]], None]) -> None:
+        self._parts = parts
+        classes = tuple(HostClass(cls.name, cls.only_zones, cls.only_kinds) for cls in settings.classes)
+        around = Around(parts.loop, parts.limits, parts.counters, parts.log, keep)
+        self.zones = Zones(zones, around, self, classes, settings.drain_grace_us)
+
+    def start(self) -> None:
+        self.zones.start()
+
+    def close(self) -> None:
+        self.zones.close()
+
+    def reread(self) -> None:
+        self.zones.reread()
+
+    def watch(self, on: bool) -> None:
+        if on:
+            self._tell()
+
+    def fetch(self) -> None:
+        self._tell()
+
+    def move(self, address: Address) -> None:
+        """Discovery has moved, which is not asked here."""
+
+    def _tell(self) -> None:
+        union = self.zones.union
+        if union.available:
+            self.listed(list(union.members.values()), union.version, union.whole)
+        else:
+            self.lost()
+
+    def listed(self, members: Sequence[Member], version: int, whole: bool) -> None:
+        self._parts.log.event("list", version=version, whole=whole, hosts=len(members))
+        self._parts.facade.report_list(members, version, whole)
+
+    def lost(self) -> None:
+        self._parts.counters.add("discovery_lost")
+        self._parts.log.event("list_unavailable", call="zones", reason="no zone is there to be followed",
+                              version=self.zones.union.version)
+        self._parts.facade.report_list_lost()
--- a/kelpcourse/zones/union.py
+++ b/kelpcourse/zones/union.py
@@ -37,8 +37,33 @@
         self._gone_us: dict[str, int] = {}  # in the order they went
         self._returned_ms: dict[str, int] = {}
         self._conflicts: dict[str, tuple[str, ...]] = {}
+        self._loaded: set[str] = set()
+        self._unavailable: set[str] = set(sources)
         self.version = 0
 
+    @property
+    def whole(self) -> bool:
+        """Whether every zone has been had once. Until then the list may add hosts and takes none away: what a
+        zone that was never had would name is not known to be gone."""
+        return len(self._loaded) == len(self._sources)
+
+    @property
+    def available(self) -> bool:
+        """Whether any zone is there to be followed. One that is lost leaves the others' news as they are."""
+        return len(self._unavailable) < len(self._sources)
+
+    def loaded(self, source: str) -> bool:
+        """A version of the zone is held and confirmed. Tells whether the list became whole by it."""
+        self._unavailable.discard(source)
+        if source in self._loaded:
+            return False
+        self._loaded.add(source)
+        return self.whole
+
+    def lost(self, source: str) -> None:
+        """The zone has expired. Its hosts stay: silence takes nothing away."""
+        self._unavailable.add(source)
+
     def take(self, source: str, changes: Mapping[str, Member | None], now_us: int,
              unix_ms: int) -> tuple[list[Member], list[Conflict]]:
         """What the list's readers are told, as one change: entries as they are now, or as gone."""
--- /dev/null
+++ b/kelpcourse/zones/zonefile.py
@@ -0,0 +1,96 @@
+"""Zone files (RFC 1035, section 5) through dnspython's reader, straight into records."""
+
+from __future__ import annotations
+
+from pathlib import Path
+from typing import Any, cast
+
+import dns.exception
+import dns.name
+import dns.rdata
+import dns.rdataclass
+import dns.tokenizer
+import dns.transaction
+import dns.zonefile
+
+from kelpcourse.limits import Limits
+from kelpcourse.zones.content import CNAME, Record, Zone, data_of, read_data, type_name, zone_of
+from kelpcourse.zones.errors import BadZone
+from kelpcourse.zones.names import canonical, is_under, to_name
+from kelpcourse.zones.transfer import check_fits
+
+
+def read_file(path: Path, origin: str, limits: Limits) -> Zone:
+    """Raises BadZone with file and line."""
+    try:
+        text = path.read_text(encoding="utf-8")
+    except OSError as error:
+        raise BadZone(f"{path}: {error.strerror}") from None
+    except UnicodeDecodeError:
+        raise BadZone(f"{path}: not UTF-8") from None
+    return read_text(text, origin, limits, str(path))
+
+
+def read_text(text: str, origin: str, limits: Limits, name: str = "zone") -> Zone:
+    """A zone as it stands in a file. $INCLUDE is refused: one file is read, and read again, as a whole."""
+    sink = _Sink(origin, limits)
+    tokens = dns.tokenizer.Tokenizer(text, filename=name)
+    reader = dns.zonefile.Reader(tokens, dns.rdataclass.IN, cast(dns.transaction.Transaction, sink),
+                                 allow_include=False)
+    try:
+        reader.read()
+    except BadZone as error:
+        raise BadZone(f"{name}:{tokens.where()[1]}: {error}") from None
+    except (dns.exception.DNSException, ValueError) as error:
+        place = "" if str(error).startswith(f"{name}:") else f"{name}:{tokens.where()[1]}: "
+        raise BadZone(f"{place}{error}") from None
+    zone = zone_of(origin, sink.records)
+    try:
+        check_fits(zone)
+        _check_aliases(zone)
+    except BadZone as error:
+        raise BadZone(f"{name}: {error}") from None
+    return zone
+
+
+def _check_aliases(zone: Zone) -> None:
+    for owner in zone.owners():
+        types = set(zone.types(owner))
+        if CNAME in types and len(types) > 1:
+            others = ", ".join(sorted(type_name(t) for t in types - {CNAME}))
+            raise BadZone(f"{owner} has a CNAME and other records: {others}")
+
+
+class _Sink:
+    """The few calls of a dnspython transaction that its reader makes."""
+
+    def __init__(self, origin: str, limits: Limits) -> None:
+        self.records: list[Record] = []
+        self.manager = self
+        self._origin = origin
+        self._limits = limits
+
+    def origin_information(self) -> tuple[dns.name.Name, bool, dns.name.Name]:
+        return to_name(self._origin), False, to_name(self._origin)
+
+    def check_put_rdataset(self, _: Any) -> None:
+        """The reader's own check wants whole sets; `_check_aliases` looks at the zone instead."""
+
+    def _set_origin(self, _: dns.name.Name) -> None:
+        """$ORIGIN names the place of the records that follow, not another zone."""
+
+    def add(self, name: dns.name.Name, ttl: int, rdata: dns.rdata.Rdata) -> None:
+        owner = canonical(name)
+        if not is_under(owner, self._origin):
+            raise BadZone(f"{owner} is not in {self._origin}")
+        if len(self.records) >= self._limits.zone_records:
+            raise BadZone(f"more than {self._limits.zone_records} records")
+        self.records.append(Record(owner, int(rdata.rdtype), ttl, data_of(rdata)))
+
+
+def write_text(zone: Zone) -> str:
+    """The zone as a file again, in an order that is the same each time."""
+    lines = [f"$ORIGIN {zone.origin}"]
+    for r in sorted(zone.records(), key=lambda r: (r.owner != zone.origin, r.type != 6, r.owner, r.type, r.data)):
+        lines.append(f"{r.owner} {r.ttl} IN {type_name(r.type)} {read_data(r.type, r.data).to_text()}")
+    return "\n".join(lines) + "\n"
