Test zones on loopback: updates, crashes, full disks, transfers and floods

Each hard case of the primary's side is played on real sockets under a fake clock: room-a removed at once, updates sent twice, journals cut, disks full and deaf, garbage, loops, crowds.

--- a/kelpcourse/store/commit.py
+++ b/kelpcourse/store/commit.py
@@ -41,6 +41,7 @@
 class Settled(Generic[T]):
     durable: list[T] = field(default_factory=list)
     undone: list[T] = field(default_factory=list)  # in the order they were staged
+    compacted: bool = False  # the snapshot stands
 
 
 class Commit(Generic[T]):
@@ -128,7 +129,7 @@
         elif outcome is Outcome.UNSURE:
             self._broken = True
         self._retry_us = now_us + self._limits.store_retry_us
-        return Settled(undone=self._drop_staged() if self._broken else [])
+        return Settled(undone=self._drop_staged() if self._broken else [], compacted=outcome is Outcome.DONE)
 
     def _compaction_due(self, now_us: int) -> bool:
         if self._broken:
--- a/kelpcourse/store/writer.py
+++ b/kelpcourse/store/writer.py
@@ -126,8 +126,7 @@
         settled = self._commit.settle(outcome, size, self._loop.clock())
         if outcome is not Outcome.DONE:
             self._failed(reason, self._commit.broken)
-        if settled.durable or settled.undone:
-            self._settled(settled)
+        self._settled(settled)
 
     def close(self) -> None:
         self._runner.close()
--- a/kelpcourse/zones/history.py
+++ b/kelpcourse/zones/history.py
@@ -52,15 +52,23 @@
         return None
 
 
-def put_back(zone: Zone, history: History, serial: int, at_ms: int) -> Difference:
-    """The zone as it was at `serial`, as the version after the one held. Raises BadZone with what is known."""
+def as_at(zone: Zone, history: History, serial: int) -> Zone | None:
+    """The version with that serial; None: it is no longer known."""
     steps = history.since(serial)
     if steps is None:
-        known = ", ".join(map(str, history.serials())) or "none"
-        raise BadZone(f"{zone.origin} is not known as it was at serial {serial}; known: {known}")
+        return None
     former = zone.copy()
     for step in reversed(steps):
-        former.apply(step.inverse(at_ms))
+        former.apply(step.inverse(0))
+    return former
+
+
+def put_back(zone: Zone, history: History, serial: int, at_ms: int) -> Difference:
+    """The zone as it was at `serial`, as the version after the one held. Raises BadZone with what is known."""
+    former = as_at(zone, history, serial)
+    if former is None:
+        known = ", ".join(map(str, history.serials())) or "none"
+        raise BadZone(f"{zone.origin} is not known as it was at serial {serial}; known: {known}")
     soa = former.get(zone.origin, SOA)
     assert soa is not None
     ttl, data = soa.ttl, next(iter(soa.data))
--- a/kelpcourse/zones/server.py
+++ b/kelpcourse/zones/server.py
@@ -11,7 +11,7 @@
 from kelpcourse.wire.listener import listen
 from kelpcourse.wire.loop import READ, Loop, Routine, Signal, Task, Wait, Woken
 from kelpcourse.wire.stream import Act, Address, Broken, Stream, family
-from kelpcourse.zones.desk import Desk
+from kelpcourse.zones.desk import HEAD, Desk
 from kelpcourse.limits import Limits
 from kelpcourse.memory.counters import Counters
 from kelpcourse.wire.parts import LogLike
@@ -169,6 +169,8 @@
             return False
         client.buffer.filled(count)
         for message in client.buffer.prefixed():
+            if len(message) < HEAD:
+                raise Broken("no message")
             client.heard_us, client.half_us = self._loop.clock(), None
             client.waits += 1
             self._desk.handle(bytes(message), client.peer, True, self._replies_to(client))
--- a/kelpcourse/zones/service.py
+++ b/kelpcourse/zones/service.py
@@ -28,7 +28,7 @@
 from kelpcourse.zones.follower import Asker, Follower, Notifier, same
 from kelpcourse.zones.grants import Grant, HostClass, bare
 from kelpcourse.zones.held import Changes, HeldZone
-from kelpcourse.zones.history import put_back
+from kelpcourse.zones.history import as_at, put_back
 from kelpcourse.zones.server import Server, pair
 from kelpcourse.zones.settings import ZoneSettings, ZonesSettings, shown
 from kelpcourse.zones.union import Conflict, Union
@@ -72,6 +72,7 @@
         self.union = Union(list(self.held), grace_us, around.limits.names)
         self._bare: set[str] = set()
         self._unsaved: set[str] = set()  # zones whose last version the store does not have
+        self._covered: set[str] = set()  # those of them that the snapshot being written holds
         self._seen_us: dict[str, int] = {}
         self._followers: dict[str, Follower] = {}
         self._notifiers: dict[str, list[Notifier]] = {origin: [] for origin in self.held}
@@ -103,6 +104,11 @@
     def start(self) -> None:
         """What the store and the files hold is announced before anybody is answered."""
         around = self._around
+        for origin, zone in self._by_origin.items():
+            for peer in zone.notify:
+                notifier = Notifier(self._asker(), self.held[origin], peer)
+                self._notifiers[origin].append(notifier)
+                around.keep("zone notify", notifier.run)
         for held in self.held.values():
             if held.zone.exists:
                 self._announce(held, dict(held.meaning.hosts))
@@ -111,10 +117,6 @@
                 self._read_file(zone)
             if zone.primaries:
                 self._follow(origin, zone)
-            for peer in zone.notify:
-                notifier = Notifier(self._asker(), self.held[origin], peer)
-                self._notifiers[origin].append(notifier)
-                around.keep("zone notify", notifier.run)
         self.start_store(around.keep)
         if self._writer is not None:
             around.keep("zone commands", self._run_commands)
@@ -182,6 +184,8 @@
     # Changes
 
     def _settled(self, settled: Settled[Ticket | Saved]) -> None:
+        if settled.compacted:
+            self._unsaved -= self._covered
         for ticket in settled.durable:
             if isinstance(ticket, Ticket):
                 self._announce(ticket.zone, ticket.zone.settle(ticket.difference, self.clock()))
@@ -191,13 +195,14 @@
                 ticket.zone.undo(ticket.difference)
                 ticket.settle(False)
             else:
-                self._unsaved.add(ticket.origin)
+                self._miss(ticket.origin)
 
     def _store_failed(self, reason: str, broken: bool) -> None:
         self._around.counters.add("store_failures")
         self._around.log.event("store_failed", reason=reason, turns_away=broken)
 
     def _snapshot(self) -> bytes:
+        self._covered = set(self._unsaved)
         return snapshot(self.held.values(), self._others)
 
     def _adopt(self, held: HeldZone, difference: Difference, source: str) -> None:
@@ -220,10 +225,14 @@
         origin = held.origin
         if origin in self._unsaved:
             entry = keep(held)
-        self._unsaved.add(origin)
+        self._miss(origin)
         if self._writer.stage(encode(entry), Saved(origin)):
             self._unsaved.discard(origin)
 
+    def _miss(self, origin: str) -> None:
+        self._unsaved.add(origin)
+        self._covered.discard(origin)
+
     def _announce(self, held: HeldZone, changes: Changes) -> None:
         """One change of the list, however many hosts it concerns."""
         origin, around = held.origin, self._around
@@ -316,7 +325,8 @@
         if verdict is Verdict.SAME and same(held.zone, new):
             return
         # Updates have moved a zone on since its file was written: that is how it is, and needs no word.
-        if verdict is Verdict.BEHIND and zone.grants and new.serial in held.history.serials():
+        former = as_at(held.zone, held.history, new.serial) if verdict is Verdict.BEHIND else None
+        if former is not None and same(former, new):
             return
         if contradictions or verdict is Verdict.SAME:
             text = "other records under the serial held" if verdict is Verdict.SAME else verdict.value
--- a/kelpcourse/zones/zonefile.py
+++ b/kelpcourse/zones/zonefile.py
@@ -37,13 +37,15 @@
     tokens = dns.tokenizer.Tokenizer(text, filename=name)
     reader = dns.zonefile.Reader(tokens, dns.rdataclass.IN, cast(dns.transaction.Transaction, sink),
                                  allow_include=False)
+    reader.current_origin = reader.last_name = to_name(origin)
     try:
         reader.read()
     except BadZone as error:
-        raise BadZone(f"{name}:{tokens.where()[1]}: {error}") from None
+        # A record is added once its line has been read to the end.
+        raise BadZone(f"{name}:{_line(tokens) - (not tokens.eof)}: {error}") from None
     except (dns.exception.DNSException, ValueError) as error:
-        place = "" if str(error).startswith(f"{name}:") else f"{name}:{tokens.where()[1]}: "
-        raise BadZone(f"{place}{error}") from None
+        what = str(error).removeprefix(f"{name}:{tokens.where()[1]}: ")
+        raise BadZone(f"{name}:{_line(tokens)}: {what}") from None
     zone = zone_of(origin, sink.records)
     try:
         check_fits(zone)
@@ -53,6 +55,11 @@
     return zone
 
 
+def _line(tokens: dns.tokenizer.Tokenizer) -> int:
+    """Where the reader stands. A line end that it read and put back is counted already."""
+    return tokens.line_number - (tokens.ungotten_char == "\n")
+
+
 def _check_aliases(zone: Zone) -> None:
     for owner in zone.owners():
         types = set(zone.types(owner))
@@ -71,7 +78,8 @@
         self._limits = limits
 
     def origin_information(self) -> tuple[dns.name.Name, bool, dns.name.Name]:
-        return to_name(self._origin), False, to_name(self._origin)
+        """The root: the reader passes over names outside a zone without a word, and they are to be told."""
+        return dns.name.root, False, dns.name.root
 
     def check_put_rdataset(self, _: Any) -> None:
         """The reader's own check wants whole sets; `_check_aliases` looks at the zone instead."""
--- /dev/null
+++ b/tests/zonerig.py
@@ -0,0 +1,258 @@
+"""A running zones part on loopback, on the test's own loop and clock, and a client to talk to it."""
+
+from __future__ import annotations
+
+import base64
+import os
+import socket
+from collections.abc import Callable, Iterable, Sequence
+from dataclasses import replace
+from pathlib import Path
+from typing import Any
+
+import dns.message
+import dns.name
+import dns.rcode
+import dns.tsig
+import dns.update
+
+from kelpcourse.limits import Limits
+from kelpcourse.memory.counters import Counters
+from kelpcourse.memory.hosts import Member, Phase
+from kelpcourse.wire.loop import Loop, Routine
+from kelpcourse.wire.stream import Address
+from kelpcourse.zones.content import Zone
+from kelpcourse.zones.grants import HostClass
+from kelpcourse.zones.service import Around, Zones
+from kelpcourse.zones.settings import read_settings, shown
+from kelpcourse.zones.zonefile import write_text
+from tests.standins import FakeClock, Records
+from tests.zoning import ORIGIN
+
+MS = 1000
+SECOND = 1_000_000
+SECRET = base64.b64encode(bytes(range(32)))
+KEY = dns.tsig.Key(dns.name.from_text("staff." + ORIGIN), SECRET.decode(), dns.name.from_text("hmac-sha256"))
+OTHER = dns.tsig.Key(KEY.name, base64.b64encode(bytes(32)).decode(), KEY.algorithm)
+QUICK = replace(Limits(), zone_ask_us=50 * MS, zone_silence_us=50 * MS, zone_file_us=20 * MS, zone_command_us=5 * MS,
+                zone_notify_us=5 * MS, zone_notify_wait_us=20 * MS, store_retry_us=20 * MS, dns_idle_us=200 * MS,
+                dns_half_us=60 * MS)
+PRIMARY = """zones {{
+    listen "127.0.0.1:1"
+    state "state"
+    service "_game._tcp"
+    key "staff.games.example.org" secret-file="staff.key"
+    zone "games.example.org" {{
+        file "games.zone"
+        update key="staff.games.example.org" {update}
+        transfer key="staff.games.example.org"
+        {more}
+    }}
+}}
+"""
+SECONDARY = """zones {{
+    listen "127.0.0.1:1"
+    {more}
+    service "_game._tcp"
+    key "staff.games.example.org" secret-file="staff.key"
+    zone "games.example.org" {{
+        {primaries}
+        transfer key="staff.games.example.org"
+    }}
+}}
+"""
+
+
+class World:
+    """Several parts in one loop; time passes only while no byte is under way."""
+
+    def __init__(self, folder: Path) -> None:
+        self.folder = folder
+        self.clock = FakeClock()
+        self.defects: list[Exception] = []
+        self.loop = Loop(self.clock, lambda _, error: self.defects.append(error))
+        self.parts: list[Part] = []
+
+    def until(self, what: Callable[[], object], most: int = 60_000) -> None:
+        for _ in range(most):
+            if what():
+                return
+            self.turn()
+        raise AssertionError(f"did not come about; defects: {self.defects}; "
+                             f"logs: {[part.log.lines[-4:] for part in self.parts]}")
+
+    def turn(self) -> None:
+        """Bytes on loopback are there as soon as they are sent, so nothing but the disk is waited for."""
+        waits = any(part.waits for part in self.parts)
+        if not self.loop.turn(self.clock.now + MS * waits) and not waits:
+            self.clock.now += MS
+
+    def pass_us(self, span_us: int) -> None:
+        until_us = self.clock.now + span_us
+        self.until(lambda: self.clock.now >= until_us)
+
+    def folder_of(self, name: str, zone: Zone | None) -> Path:
+        path = self.folder / name
+        path.mkdir(exist_ok=True)
+        key = path / "staff.key"
+        key.write_bytes(SECRET)
+        key.chmod(0o600)
+        if zone is not None:
+            (path / "games.zone").write_text(write_text(zone))
+        return path
+
+    def primary(self, zone: Zone, name: str = "primary", update: str = "", more: str = "",
+                classes: tuple[HostClass, ...] = (), limits: Limits = QUICK) -> Part:
+        path = self.folder_of(name, zone)
+        (path / "z.kdl").write_text(PRIMARY.format(update=update, more=more))
+        return self.part(path, classes, limits)
+
+    def secondary(self, *primaries: Address, name: str = "secondary", key: bool = True, more: str = "",
+                  limits: Limits = QUICK) -> Part:
+        path = self.folder_of(name, None)
+        signed = ' key="staff.games.example.org"' if key else ""
+        lines = "\n".join(f'primary "{shown(p)}"{signed}' for p in primaries)
+        (path / "z.kdl").write_text(SECONDARY.format(primaries=lines, more=more))
+        return self.part(path, (), limits)
+
+    def part(self, path: Path, classes: tuple[HostClass, ...] = (), limits: Limits = QUICK) -> Part:
+        made = Part(self, path, classes, limits)
+        self.parts.append(made)
+        return made
+
+    def close(self) -> None:
+        self.loop.close()
+        for part in self.parts:
+            part.zones.close()
+        if self.defects:
+            raise self.defects[0]
+
+
+class Part:
+    def __init__(self, world: World, path: Path, classes: tuple[HostClass, ...], limits: Limits) -> None:
+        self.world = world
+        self.path = path
+        self.log = Records()
+        self.counters = Counters()
+        self.list: dict[str, Phase] = {}
+        self.told: list[tuple[dict[str, str], bool]] = []
+        self.members: dict[str, Member] = {}
+        self.losses = 0
+        self._tasks: list[Any] = []
+        around = Around(world.loop, limits, self.counters, self.log, self._keep)
+        settings = read_settings(path / "z.kdl")
+        if settings.listen is not None:  # port 0 can't be written down: any free one
+            settings = replace(settings, listen=(settings.listen[0], 0))
+        self.zones = Zones(settings, around, self, classes, 2 * SECOND)
+        self.zones.start()
+
+    def _keep(self, name: str, make: Callable[[], Routine]) -> None:
+        self._tasks.append(self.world.loop.start(name, make()))
+
+    def listed(self, members: Sequence[Member], version: int, whole: bool) -> None:
+        self.told.append(({m.name: m.phase.value for m in members}, whole))
+        if whole:
+            self.list.clear()
+        for m in members:
+            self.list.pop(m.name, None)
+            self.members[m.name] = m
+            if m.phase is not Phase.GONE:
+                self.list[m.name] = m.phase
+
+    def lost(self) -> None:
+        self.losses += 1
+
+    @property
+    def waits(self) -> bool:
+        """Whether the disk has a job of its: time stands still for it."""
+        writer = self.zones._writer
+        return writer is not None and writer._commit.busy
+
+    @property
+    def address(self) -> Address:
+        assert self.zones.server is not None
+        return self.zones.server.address
+
+    @property
+    def serial(self) -> int:
+        held = self.zones.held[ORIGIN]
+        return held.zone.serial if held.zone.exists else 0
+
+    def kill(self) -> None:
+        """Ends as a process does that is killed: nothing is said and nothing finished."""
+        for task in self._tasks:
+            self.world.loop.stop(task)
+        self.zones.close()
+        self.world.parts.remove(self)
+
+
+class Client:
+    """Asks one part, over UDP or TCP, and turns the world until the answer is there."""
+
+    def __init__(self, world: World, part: Part) -> None:
+        self.world = world
+        self.part = part
+
+    def send(self, wire: bytes, tcp: bool = False) -> socket.socket:
+        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM if tcp else socket.SOCK_DGRAM)
+        sock.connect(self.part.address)
+        sock.setblocking(False)
+        sock.send(len(wire).to_bytes(2, "big") + wire if tcp else wire)
+        return sock
+
+    def hear(self, sock: socket.socket, tcp: bool = False) -> bytes:
+        data = bytearray()
+
+        def whole() -> bool:
+            try:
+                data.extend(sock.recv(65_535))
+            except BlockingIOError:
+                return False
+            return not tcp or (len(data) > 1 and len(data) >= 2 + int.from_bytes(data[:2], "big"))
+        self.world.until(whole)
+        return bytes(data[2:] if tcp else data)
+
+    def ask(self, message: dns.message.Message, tcp: bool = False) -> dns.message.Message:
+        sock = self.send(message.to_wire(), tcp)
+        try:
+            wire = self.hear(sock, tcp)
+        finally:
+            sock.close()
+        ring = {KEY.name: KEY} if message.had_tsig else None
+        return dns.message.from_wire(wire, keyring=ring, request_mac=message.mac or b"")
+
+    def query(self, owner: str, type_: str, tcp: bool = False, **options: Any) -> dns.message.Message:
+        return self.ask(dns.message.make_query(owner, type_, **options), tcp)
+
+    def update(self, *prepare: tuple[str, ...], key: dns.tsig.Key | None = KEY, tcp: bool = False,
+               ) -> dns.rcode.Rcode:
+        return self.ask(update_of(*prepare, key=key), tcp).rcode()
+
+    def all_of(self, messages: Iterable[dns.message.Message]) -> list[dns.rcode.Rcode]:
+        """Several at once, each from a socket of its own."""
+        out = []
+        sent = [(message, self.send(message.to_wire())) for message in messages]
+        for message, sock in sent:
+            ring = {KEY.name: KEY}
+            out.append(dns.message.from_wire(self.hear(sock), keyring=ring, request_mac=message.mac or b"").rcode())
+            sock.close()
+        return out
+
+
+def update_of(*prepare: tuple[str, ...], key: dns.tsig.Key | None = KEY) -> dns.update.UpdateMessage:
+    message = dns.update.UpdateMessage(ORIGIN)
+    if key is not None:
+        message.use_tsig(key)
+    for call, *words in prepare:
+        getattr(message, call)(*words)
+    return message
+
+
+def host_added(name: str, room: str = "room-a", address: str = "127.0.0.50",
+               txt: str = '"kind=m2"') -> tuple[tuple[str, ...], ...]:
+    return (("add", f"_game._tcp.{room}", "60", "SRV", f"0 1 5000 {name}.{ORIGIN}"),
+            ("add", name, "60", "A", address), ("add", name, "60", "TXT", txt))
+
+
+def fds() -> int:
+    return len(os.listdir("/proc/self/fd"))
