--- a/kelpcourse/zones/follower.py
+++ b/kelpcourse/zones/follower.py
@@ -195,6 +195,7 @@
     def _check_expiry(self) -> None:
         if self._refresh.expired(self._asker.loop.clock()) and not self._held.belief.expired:
             self._held.belief.expire()
+            self._refresh.notified(self._asker.loop.clock())  # whatever its primaries have is news now
             self._expired(self._held)
 
     def _round(self, peer: Primary) -> Act[None]:
--- /dev/null
+++ b/tests/zoneprimary.py
@@ -0,0 +1,101 @@
+"""A scripted DNS primary: says what the test lays ready, right or wrong, over UDP and TCP."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Sequence
+
+import dns.flags
+import dns.message
+import dns.rdatatype
+
+from kelpcourse.wire.buffers import Buffer
+from kelpcourse.wire.loop import READ, Loop, Routine, Wait
+from kelpcourse.wire.stream import Act, Address, Broken, Stream
+from kelpcourse.zones.answer import rrset_of
+from kelpcourse.zones.content import SOA, Record, Zone
+from kelpcourse.zones.server import pair
+from kelpcourse.zones.transfer import messages, whole
+from tests.zonerig import KEY
+
+FAR_US = 1 << 60
+
+
+class ScriptedPrimary:
+    def __init__(self, loop: Loop, zone: Zone, signed: bool = True) -> None:
+        self.loop = loop
+        self.zone = zone  # told of by its SOA
+        self.sent: Zone | None = None  # transferred, if another one
+        self.ixfr: Callable[[int], Sequence[Record]] | None = None  # by the serial asked from; None: the zone
+        self.cut_after = 1 << 30  # messages of a transfer before the connection ends
+        self.silent = False
+        self.before_udp: Callable[[dns.message.Message], list[bytes]] = lambda _: []  # forged by somebody else
+        self.asked: list[str] = []
+        self._ring = {KEY.name: KEY} if signed else None
+        self._udp, self._tcp = pair(("127.0.0.1", 0))
+        self.address: Address = self._tcp.getsockname()
+        loop.start("primary udp", self._run_udp())
+        loop.start("primary tcp", self._run_tcp())
+
+    def _read(self, wire: bytes) -> dns.message.Message:
+        query = dns.message.from_wire(wire, keyring=self._ring)
+        self.asked.append(dns.rdatatype.to_text(query.question[0].rdtype))
+        return query
+
+    def _run_udp(self) -> Routine:
+        while True:
+            yield Wait(fd=self._udp.fileno(), mask=READ)
+            wire, peer = self._udp.recvfrom(65_535)
+            query = self._read(wire)
+            for forged in self.before_udp(query):
+                self._udp.sendto(forged, peer)
+            if not self.silent:
+                self._udp.sendto(self.soa_answer(query, self.zone).to_wire(), peer)
+
+    def soa_answer(self, query: dns.message.Message, zone: Zone) -> dns.message.Message:
+        response = dns.message.make_response(query)
+        response.flags |= dns.flags.AA
+        response.answer.append(rrset_of(zone.origin, SOA, 60, (zone.soa_data,)))
+        return response
+
+    def _run_tcp(self) -> Routine:
+        while True:
+            yield Wait(fd=self._tcp.fileno(), mask=READ)
+            connection, _ = self._tcp.accept()
+            self.loop.start("primary client", self._guarded(Stream(connection)))
+
+    def _guarded(self, stream: Stream) -> Routine:
+        try:
+            yield from self._serve(stream)
+        except Broken:
+            pass
+        finally:
+            stream.close()
+
+    def _serve(self, stream: Stream) -> Act[None]:
+        buffer = Buffer(512, 70_000)
+        while True:
+            for wire in buffer.prefixed():
+                query = self._read(bytes(wire))
+                if self.silent:
+                    continue
+                for count, answer in enumerate(self._answers(query)):
+                    if count >= self.cut_after:
+                        return
+                    yield from stream.send(len(answer).to_bytes(2, "big") + answer, FAR_US)
+            count = yield from stream.recv_into(buffer.space(), FAR_US)
+            if not count:
+                return
+            buffer.filled(count)
+
+    def _answers(self, query: dns.message.Message) -> list[bytes]:
+        rdtype = query.question[0].rdtype
+        if rdtype == dns.rdatatype.SOA:
+            return [self.soa_answer(query, self.zone).to_wire()]
+        records: Sequence[Record] = whole(self.sent or self.zone)
+        if rdtype == dns.rdatatype.IXFR and self.ixfr is not None:
+            records = self.ixfr(query.authority[0][0].serial)
+        return list(messages(query, records))
+
+    def close(self) -> None:
+        self._udp.close()
+        self._tcp.close()
