--- a/kelpcourse/cli/main.py
+++ b/kelpcourse/cli/main.py
@@ -30,7 +30,7 @@
         sys.exit(BAD_SETTINGS)
     except OSError as error:
         place = f"{error.filename}: " if error.filename else ""
-        click.echo(f"kelpcourse: {place}{error.strerror}", err=True)
+        click.echo(f"kelpcourse: {place}{error.strerror or error}", err=True)
         sys.exit(BAD_SETTINGS)
 
 
@@ -171,3 +171,11 @@
                                  "hosts": restored.hosts}).decode())
     else:
         click.echo(f"{origin} is as it was at {serial}, now serial {restored.serial}, {restored.hosts} hosts")
+
+
+@cli.command("demo")
+@plainly
+def run_demo() -> None:
+    """Plays a director on a zone on loopback: a room is removed by an update and put back. Under a minute."""
+    from kelpcourse.lab.view import demo
+    sys.exit(demo())
--- a/kelpcourse/kdl.py
+++ b/kelpcourse/kdl.py
@@ -110,7 +110,8 @@
             return None
         made = kind(**{**sound, "line": line})
         for name, text in made.problems():
-            self._note(line, _path(path, name), text)
+            if fields.get(name) is not WRONG:  # that it was wrong is told already
+                self._note(line, _path(path, name), text)
         return made
 
     def _child(self, fields: dict[str, Any], hints: dict[str, Any], node: Any, path: str) -> None:
@@ -125,7 +126,7 @@
             elif name in fields:
                 self._note(line, inner, "stands twice")
             else:
-                fields[name] = made
+                fields[name] = made if made is not None else WRONG
             return
         for _ in _nodes_below(node):
             next(self._lines)
@@ -137,6 +138,7 @@
                         again=True)
         elif len(node.args) != 1 and name in hints:
             self._note(line, inner, f"takes one value, has {len(node.args)}")
+            fields[name] = WRONG
         else:
             self._value(fields, hints, name, node.args[0] if node.args else None, line, path)
 
--- /dev/null
+++ b/kelpcourse/lab/http.py
@@ -0,0 +1,102 @@
+"""The far side of HTTP/1.1, for stand-ins: what is said on each connection is up to whoever makes one."""
+
+from __future__ import annotations
+
+import socket
+from collections.abc import Callable
+
+import h11
+
+from kelpcourse.wire.loop import READ, Loop, Routine, Wait
+from kelpcourse.wire.stream import Act, Address, Broken, Stream
+
+
+class Caller:
+    """The stand-in's side of one HTTP connection."""
+
+    def __init__(self, stream: Stream, loop: Loop) -> None:
+        self.stream = stream
+        self._loop = loop
+        self._parser = h11.Connection(h11.SERVER)
+
+    def _far(self) -> int:
+        return self._loop.clock() + 3_600_000_000
+
+    def event(self) -> Act[object]:
+        while (event := self._parser.next_event()) is h11.NEED_DATA:
+            room = memoryview(bytearray(65536))
+            count = yield from self.stream.recv_into(room, self._far())
+            self._parser.receive_data(bytes(room[:count]))
+        return event
+
+    def request(self) -> Act[tuple[str, bytes] | None]:
+        """The target and body of the next call; None: the connection has ended."""
+        if self._parser.our_state is h11.DONE:
+            self._parser.start_next_cycle()
+        head = yield from self.event()
+        if not isinstance(head, h11.Request):
+            return None
+        body = b""
+        while isinstance(event := (yield from self.event()), h11.Data):
+            body += event.data
+        return head.target.decode(), body
+
+    def say(self, *events: h11.Event) -> Act[None]:
+        data = b"".join(self._parser.send(event) or b"" for event in events)
+        yield from self.stream.send(data, self._far())
+
+    def answer(self, status: int, body: bytes) -> Act[None]:
+        head = h11.Response(status_code=status, headers=[("Content-Length", str(len(body)))])
+        yield from self.say(head, h11.Data(data=body), h11.EndOfMessage())
+
+    def open_body(self) -> Act[None]:
+        yield from self.say(h11.Response(status_code=200, headers=[("Transfer-Encoding", "chunked")]))
+
+    def line(self, text: bytes) -> Act[None]:
+        yield from self.say(h11.Data(data=text + b"\n"))
+
+    def silence(self) -> Act[None]:
+        """Says nothing until the other side closes."""
+        room = memoryview(bytearray(4096))
+        while (yield from self.stream.recv_into(room, self._far())):
+            pass
+
+    def reset(self) -> None:
+        """Ends as a process that dies does."""
+        self.stream.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\x01\0\0\0\0\0\0\0")
+        self.stream.close()
+
+
+Serve = Callable[[Caller], Act[None]]
+
+
+class StandIn:
+    """A server on an ephemeral loopback port."""
+
+    def __init__(self, loop: Loop, serve: Serve) -> None:
+        self._loop = loop
+        self._serve = serve
+        self._sock = socket.create_server(("127.0.0.1", 0))
+        self._sock.setblocking(False)
+        self.address: Address = self._sock.getsockname()
+        self.connections = 0
+        self._accepting = loop.start("stand-in", self._accept())
+
+    def _accept(self) -> Routine:
+        while True:
+            yield Wait(fd=self._sock.fileno(), mask=READ)
+            connection, _ = self._sock.accept()
+            self.connections += 1
+            self._loop.start("stand-in caller", self._guarded(Caller(Stream(connection), self._loop)))
+
+    def _guarded(self, caller: Caller) -> Routine:
+        try:
+            yield from self._serve(caller)
+        except (Broken, h11.RemoteProtocolError):
+            pass
+        finally:
+            caller.stream.close()
+
+    def close(self) -> None:
+        self._loop.stop(self._accepting)
+        self._sock.close()
--- a/kelpcourse/zones/zonefile.py
+++ b/kelpcourse/zones/zonefile.py
@@ -41,11 +41,10 @@
     try:
         reader.read()
     except BadZone as error:
-        # A record is added once its line has been read to the end.
-        raise BadZone(f"{name}:{_line(tokens) - (not tokens.eof)}: {error}") from None
+        raise BadZone(f"{name}:{_line(tokens, text)}: {error}") from None
     except (dns.exception.DNSException, ValueError) as error:
         what = str(error).removeprefix(f"{name}:{tokens.where()[1]}: ")
-        raise BadZone(f"{name}:{_line(tokens)}: {what}") from None
+        raise BadZone(f"{name}:{_line(tokens, text)}: {what}") from None
     zone = zone_of(origin, sink.records)
     try:
         check_fits(zone)
@@ -55,9 +54,10 @@
     return zone
 
 
-def _line(tokens: dns.tokenizer.Tokenizer) -> int:
-    """Where the reader stands. A line end that it read and put back is counted already."""
-    return tokens.line_number - (tokens.ungotten_char == "\n")
+def _line(tokens: dns.tokenizer.Tokenizer, text: str) -> int:
+    """Of what was read last. The reader itself counts a line end that it looked at, needed or not."""
+    read = tokens.file.tell() - (tokens.ungotten_char is not None)
+    return text.count("\n", 0, max(0, read - 1)) + 1
 
 
 def _check_aliases(zone: Zone) -> None:
--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -7,7 +7,7 @@
 
 ROOT = Path(__file__).parent.parent
 SOURCE = "".join(path.read_text(encoding="utf-8") for path in sorted((ROOT / "kelpcourse").rglob("*.py")))
-PAGE = (ROOT / "docs" / "on-call.md").read_text(encoding="utf-8")
+PAGE = "".join((ROOT / "docs" / name).read_text(encoding="utf-8") for name in ("on-call.md", "operating-zones.md"))
 
 
 def named(pattern: str) -> set[str]:
