--- a/benchmarks/zones.py
+++ b/benchmarks/zones.py
@@ -1,7 +1,7 @@
 """What zones cost: loading, transferring, diffing, updates, questions, memory, recovery, and the way to an order.
 
-`python -m benchmarks.zones` prints all of it as tables; each figure says what it counts. Everything is on loopback, in
-one process but for the director of the last part; hosts are simulated.
+`python -m benchmarks.zones [PART …]` prints all of it as tables; each figure says what it counts. Everything is on
+loopback, in one process but for the director of the last part; hosts are simulated.
 """
 
 from __future__ import annotations
@@ -10,6 +10,7 @@
 import select
 import socket
 import statistics
+import sys
 import tempfile
 import threading
 import time
@@ -34,7 +35,7 @@
 from kelpcourse.store.frames import Record as Entry
 from kelpcourse.store.journal import Journal
 from kelpcourse.wire.stream import Address
-from kelpcourse.zones.book import Replay, changed, encode
+from kelpcourse.zones.book import Changed, Replay, collecting_nothing, encode
 from kelpcourse.zones.content import SOA, Draft, Record, Zone, between, data_of
 from kelpcourse.zones.held import HeldZone
 from kelpcourse.zones.settings import read_settings, shown
@@ -86,7 +87,7 @@
     other.put(soa_record(zone)._replace(data=next_soa(zone)))
     ours, difference = timed(lambda: between(zone, other, 0))
     theirs, _ = timed(lambda: library_difference(library), 1)
-    row(f"difference of two versions ({len(difference)} records)", f"{ours:.0f}", f"{theirs:.0f}")
+    row(f"difference of two versions ({difference.size} records)", f"{ours:.0f}", f"{theirs:.0f}")
     held = held_of(zone)
     ours = statistics.median(one_change(held, k) for k in range(100)) * 1e3
     theirs, _ = timed(lambda: library_change(library), 3)
@@ -261,7 +262,7 @@
         held = held_of(read_text(zone_text(hosts(1000)), ORIGIN, LIMITS))
         journal = Journal(Folder(Path(folder)))
         journal.open()
-        journal.compact(0, encode(changed(ORIGIN, between(Zone(ORIGIN), held.zone, 0))))
+        journal.compact(0, encode(Changed(ORIGIN, between(Zone(ORIGIN), held.zone, 0))))
         entries = []
         for k in range(changes):
             draft = held.draft()
@@ -272,15 +273,16 @@
             draft.advance()
             difference = draft.difference(0)
             held.take(difference, 0)
-            entries.append(Entry(k + 1, encode(changed(ORIGIN, difference))))
+            entries.append(Entry(k + 1, encode(Changed(ORIGIN, difference))))
         journal.append(entries)
         journal.close()
 
         def restart() -> Replay:
             again = Journal(Folder(Path(folder)))
-            found = again.open()
-            replay = Replay([ORIGIN], SERVICE, LIMITS)
-            replay.run(found.snapshot, (r.payload for r in found.records))
+            with collecting_nothing():
+                found = again.open()
+                replay = Replay([ORIGIN], SERVICE, LIMITS)
+                replay.run(found.snapshot, (r.payload for r in found.records))
             again.close()
             return replay
         took, replay = timed(restart)
@@ -356,11 +358,9 @@
 
 def main() -> None:
     print(f"Machine: {os.cpu_count()} cores; hosts simulated, all on loopback.")
-    large_zone()
-    memory()
-    server()
-    recovery()
-    to_an_order()
+    parts = {"large": large_zone, "memory": memory, "server": server, "recovery": recovery, "order": to_an_order}
+    for name in sys.argv[1:] or parts:
+        parts[name]()
 
 
 if __name__ == "__main__":
--- a/kelpcourse/limits.py
+++ b/kelpcourse/limits.py
@@ -83,7 +83,7 @@
     zone_inline_bytes: int = 4_096  # a message or file up to this is read in the loop, a larger one beside it
     zone_silence_us: int = 10_000_000  # between two of its messages
     zone_ask_us: int = 2_000_000  # for the answer to a question over UDP
-    zone_notify_us: int = 50_000  # between two rounds of questions, however many NOTIFY come
+    zone_notify_us: int = 20_000  # between two rounds of questions, however many NOTIFY come
     zone_notify_tries: int = 5  # to tell a secondary of a change (RFC 1996: a few)
     zone_notify_wait_us: int = 1_000_000  # before the second of these, and doubled each time
     zone_refresh_least_us: int = 1_000_000
--- a/kelpcourse/zones/book.py
+++ b/kelpcourse/zones/book.py
@@ -2,13 +2,14 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Sequence
+import gc
+from collections.abc import Iterable, Iterator, Sequence
+from contextlib import contextmanager
 
 import msgspec
 
 from kelpcourse.limits import Limits
-from kelpcourse.zones.content import Difference, Record, zone_of
-from kelpcourse.zones.content import between as difference_between
+from kelpcourse.zones.content import Difference, Record, between, zone_of
 from kelpcourse.zones.errors import BadZone
 from kelpcourse.zones.held import HeldZone
 
@@ -17,11 +18,7 @@
     """A zone went from one version to the next."""
 
     origin: str
-    before: int | None
-    after: int
-    removed: tuple[Record, ...]
-    added: tuple[Record, ...]
-    at_ms: int
+    difference: Difference
 
 
 class Seen(msgspec.Struct, tag="seen", array_like=True, frozen=True):
@@ -36,7 +33,7 @@
 
     origin: str
     records: tuple[Record, ...]
-    history: tuple[Changed, ...]
+    history: tuple[Difference, ...]
     seen_ms: int
 
 
@@ -60,22 +57,25 @@
         raise BadZone(f"an entry of the store can't be read: {error}") from None
 
 
-def changed(origin: str, d: Difference) -> Changed:
-    return Changed(origin, d.before, d.after, d.removed, d.added, d.at_ms)
-
-
-def difference(entry: Changed) -> Difference:
-    return Difference(entry.before, entry.after, entry.removed, entry.added, entry.at_ms)
-
-
 def snapshot(zones: Iterable[HeldZone], others: Iterable[Kept]) -> bytes:
     """`others`: zones that the store holds and the settings do not name; they are kept."""
     return encode(Snapshot((*(keep(zone) for zone in zones if zone.zone.exists), *others)))
 
 
 def keep(zone: HeldZone) -> Kept:
-    history = tuple(changed(zone.origin, d) for d in zone.history)
-    return Kept(zone.origin, tuple(zone.zone.records()), history, zone.seen_ms)
+    return Kept(zone.origin, tuple(zone.zone.records()), tuple(zone.history), zone.seen_ms)
+
+
+@contextmanager
+def collecting_nothing() -> Iterator[None]:
+    """Nothing of what a restart makes is garbage, and looking for it costs half of the time."""
+    collects = gc.isenabled()
+    gc.disable()
+    try:
+        yield
+    finally:
+        if collects:
+            gc.enable()
 
 
 class Replay:
@@ -95,13 +95,16 @@
 
     def run(self, snapshot_payload: bytes | None, payloads: Iterable[bytes]) -> None:
         for payload in (*([snapshot_payload] if snapshot_payload else []), *payloads):
-            try:
-                self._take(decode(payload))
-            except BadZone as error:  # told; the version that stands is a whole one
-                self.remarks.append(str(error))
+            self._run_one(payload)
         for zone in self.zones.values():
             zone.wake()
 
+    def _run_one(self, payload: bytes) -> None:
+        try:
+            self._take(decode(payload))
+        except BadZone as error:  # told; the version that stands is a whole one
+            self.remarks.append(str(error))
+
     def _take(self, entry: Entry) -> None:
         match entry:
             case Snapshot(zones):
@@ -111,17 +114,17 @@
                 self._keep(entry)
             case Changed():
                 zone = self._zone(entry.origin)
-                zone.replay(difference(entry))
-                zone.seen_ms = max(zone.seen_ms, entry.at_ms)
+                zone.replay(entry.difference)
+                zone.seen_ms = max(zone.seen_ms, entry.difference.at_ms)
             case Seen(origin, at_ms):
                 zone = self._zone(origin)
                 zone.seen_ms = max(zone.seen_ms, at_ms)
 
     def _keep(self, kept: Kept) -> None:
         zone = self._zone(kept.origin)
-        zone.replay(difference_between(zone.zone, zone_of(kept.origin, kept.records), kept.seen_ms))
+        zone.replay(between(zone.zone, zone_of(kept.origin, kept.records), kept.seen_ms))
         for each in kept.history:
-            zone.history.add(difference(each))
+            zone.history.add(each)
         zone.seen_ms = kept.seen_ms
 
     def _zone(self, origin: str) -> HeldZone:
--- a/kelpcourse/zones/content.py
+++ b/kelpcourse/zones/content.py
@@ -13,6 +13,7 @@
 import dns.rdata
 import dns.rdataclass
 import dns.rdatatype
+import msgspec
 
 from kelpcourse.zones.errors import BadZone
 from kelpcourse.zones.serials import after
@@ -69,9 +70,8 @@
     return data[:at] + serial.to_bytes(4, "big") + data[at + 4:]
 
 
-@dataclass(frozen=True)
-class Difference:
-    """From one version of a zone to another, both SOA records included."""
+class Difference(msgspec.Struct, frozen=True, array_like=True):
+    """From one version of a zone to another, both SOA records included. It goes into the store as it is."""
 
     before: int | None  # serial; None: there was no zone
     after: int
@@ -83,7 +83,9 @@
         assert self.before is not None
         return Difference(self.after, self.before, self.added, self.removed, at_ms)
 
-    def __len__(self) -> int:
+    @property
+    def size(self) -> int:
+        """Records."""
         return len(self.removed) + len(self.added)
 
 
@@ -95,6 +97,7 @@
         self._owners: dict[str, dict[int, RecordSet]] = {}
         self._inner: dict[str, int] = {}  # names without records that have names below them (RFC 4592): how many
         self._count = 0
+        self._soa: bytes | None = None  # asked for with every change
 
     def __len__(self) -> int:
         return self._count
@@ -103,19 +106,18 @@
         other = Zone(self.origin)
         other._owners = {owner: {t: RecordSet(s.ttl, dict(s.data)) for t, s in sets.items()}
                          for owner, sets in self._owners.items()}
-        other._inner, other._count = dict(self._inner), self._count
+        other._inner, other._count, other._soa = dict(self._inner), self._count, self._soa
         return other
 
     @property
     def exists(self) -> bool:
-        return self.get(self.origin, SOA) is not None
+        return self._soa is not None
 
     @property
     def soa_data(self) -> bytes:
-        held = self.get(self.origin, SOA)
-        if held is None:
+        if self._soa is None:
             raise BadZone(f"{self.origin} has no SOA")
-        return next(iter(held.data))
+        return self._soa
 
     @property
     def soa(self) -> Soa:
@@ -123,7 +125,7 @@
 
     @property
     def serial(self) -> int:
-        return self.soa.serial
+        return int.from_bytes(self.soa_data[-20:-16], "big")
 
     def get(self, owner: str, type_: int) -> RecordSet | None:
         return self._owners.get(owner, {}).get(type_)
@@ -157,6 +159,8 @@
         if held is None:
             held = sets[record.type] = RecordSet(record.ttl, {})
         held.ttl = record.ttl
+        if record.type == SOA and record.owner == self.origin:
+            self._soa = record.data
         self._count += record.data not in held.data
         held.data[record.data] = None
 
@@ -168,6 +172,8 @@
             return False
         del held.data[record.data]
         self._count -= 1
+        if record.type == SOA and record.owner == self.origin:
+            self._soa = next(iter(held.data), None)
         if not held.data:
             del sets[record.type]
         if not sets:
@@ -186,10 +192,12 @@
 
     def apply(self, difference: Difference) -> None:
         """Raises BadZone, with nothing changed, if the difference does not start from this version."""
-        for record in difference.removed:
-            held = self.get(record.owner, record.type)
-            if held is None or record.data not in held.data:
-                raise BadZone(f"{record.owner} has no such {type_name(record.type)} record to be removed")
+        owners = self._owners
+        for owner, type_, _, data in difference.removed:
+            sets = owners.get(owner)
+            held = sets.get(type_) if sets is not None else None
+            if held is None or data not in held.data:
+                raise BadZone(f"{owner} has no such {type_name(type_)} record to be removed")
         for record in difference.removed:
             self.take(record)
         for record in difference.added:
--- a/kelpcourse/zones/history.py
+++ b/kelpcourse/zones/history.py
@@ -35,12 +35,9 @@
             if difference.before is None:
                 return
         self._differences.append(difference)
-        self._records += len(difference)
+        self._records += difference.size
         while self._records > self._most and self._differences:
-            self._records -= len(self._differences.popleft())
-
-    def undo_last(self) -> None:
-        self._records -= len(self._differences.pop())
+            self._records -= self._differences.popleft().size
 
     def since(self, serial: int) -> list[Difference] | None:
         """What leads from that version to the one held; None: that is no longer known."""
--- a/kelpcourse/zones/service.py
+++ b/kelpcourse/zones/service.py
@@ -5,7 +5,7 @@
 import os
 import time
 from collections.abc import Callable, Iterable, Sequence
-from dataclasses import dataclass, replace
+from dataclasses import dataclass
 from functools import partial
 from pathlib import Path
 from typing import Protocol
@@ -24,7 +24,7 @@
 from kelpcourse.wire.stream import Act
 from kelpcourse.wire.worker import in_thread
 from kelpcourse.zones.belief import Verdict, Version
-from kelpcourse.zones.book import Entry, Replay, Seen, changed, encode, keep, snapshot
+from kelpcourse.zones.book import Changed, Entry, Replay, Seen, collecting_nothing, encode, keep, snapshot
 from kelpcourse.zones.content import Difference, Zone
 from kelpcourse.zones.desk import Desk, Ticket
 from kelpcourse.zones.errors import BadZone
@@ -92,8 +92,9 @@
             return replay
         journal = Journal(Folder(settings.state))
         began = time.monotonic()
-        found = journal.open()
-        replay.run(found.snapshot, (record.payload for record in found.records))
+        with collecting_nothing():
+            found = journal.open()
+            replay.run(found.snapshot, (record.payload for record in found.records))
         for remark in found.remarks:
             around.log.always("store_remark", file=remark.file, what=remark.what, lost_bytes=remark.lost_bytes,
                               alarming=remark.alarming)
@@ -179,7 +180,7 @@
             self._save(ticket.zone, keep(ticket.zone))
             if ticket.zone.origin in self._unsaved:
                 return False
-        return self._writer.stage(encode(changed(ticket.zone.origin, ticket.difference)), ticket)
+        return self._writer.stage(encode(Changed(ticket.zone.origin, ticket.difference)), ticket)
 
     def notified(self, origin: str) -> None:
         self._followers[origin].notified()
@@ -211,14 +212,14 @@
     def _adopt(self, held: HeldZone, difference: Difference, source: str) -> None:
         """A version that came whole from its source and can be had there again: announced at once, and kept as
         soon as the disk takes it."""
-        difference = replace(difference, at_ms=self.unix_ms())
+        difference = msgspec.structs.replace(difference, at_ms=self.unix_ms())
         changes = held.take(difference, self.clock())
         held.drop_head()
         held.seen_ms = self.unix_ms()
         self._around.log.always("zone_version", zone=held.origin, serial=held.zone.serial, source=source,
                                 records=len(held.zone), hosts=len(held.meaning.hosts))
         self._announce(held, changes)
-        self._save(held, changed(held.origin, difference))
+        self._save(held, Changed(held.origin, difference))
 
     def _save(self, held: HeldZone, entry: Entry) -> None:
         """Keeps a version that is announced already. Once that has failed, only the whole zone follows on from
--- a/tests/test_zone_content.py
+++ b/tests/test_zone_content.py
@@ -12,7 +12,7 @@
 
 from kelpcourse.memory.hosts import Phase
 from kelpcourse.zones.answer import look_up
-from kelpcourse.zones.book import Replay, changed, decode, encode, snapshot
+from kelpcourse.zones.book import Changed, Replay, decode, encode, snapshot
 from kelpcourse.zones.content import Draft, Record, Zone, between, soa_of, zone_of
 from kelpcourse.zones.errors import BadZone
 from kelpcourse.zones.history import History, put_back
@@ -202,10 +202,10 @@
     one = held(zone(1, rooms()))
     payloads = []
     first = between(Zone(ORIGIN), one.zone, 5)
-    payloads.append(encode(changed(ORIGIN, first)))
+    payloads.append(encode(Changed(ORIGIN, first)))
     step = draft_of(one.zone, remove=host("s-0", address="127.0.0.10")).difference(9)
     one.take(step, 0)
-    payloads.append(encode(changed(ORIGIN, step)))
+    payloads.append(encode(Changed(ORIGIN, step)))
     replay = Replay([ORIGIN], SERVICE, LIMITS)
     replay.run(None, payloads)
     again = replay.zones[ORIGIN]
