--- a/kelpcourse/zones/service.py
+++ b/kelpcourse/zones/service.py
@@ -18,7 +18,7 @@
 from kelpcourse.store.commit import Settled
 from kelpcourse.store.folder import Folder
 from kelpcourse.store.journal import Journal
-from kelpcourse.store.writer import Thread, Writer
+from kelpcourse.wire.storage import Thread, Writer
 from kelpcourse.wire.loop import Loop, Routine, Signal, Wait
 from kelpcourse.wire.parts import LogLike
 from kelpcourse.wire.stream import Act
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -177,3 +177,9 @@
     done = subprocess.run([sys.executable, "-c", code, *heavy], capture_output=True, check=True,
                           env={k: v for k, v in os.environ.items() if k != "NODE_CONFIG"})
     assert done.stdout == b"[] []\n"
+
+
+def test_the_settings_that_are_delivered_are_sound() -> None:
+    deploy = Path(__file__).parent.parent / "deploy"
+    done = run("check", deploy / "zones.kdl")
+    assert (done.exit_code, done.stdout) == (0, "games.example.org. 2 hosts\n")
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -16,7 +16,7 @@
 from kelpcourse.store.frames import HEADER_BYTES, Damage, Kind, Record, Unusable, frame, header, read
 from kelpcourse.store.journal import Journal
 from kelpcourse.store.recovery import file_name, from_bytes, obsolete, recover
-from kelpcourse.store.writer import Done, Thread, Writer
+from kelpcourse.wire.storage import Done, Thread, Writer
 from tests.standins import Bench
 
 PAYLOADS = [b"one", b"", b"three" * 9, bytes(range(256))]
