--- /dev/null
+++ b/kelpcourse/shared/__init__.py
@@ -0,0 +1,1 @@
+"""Several controllers on one fleet: agreement, leases of groups of proxies, takeover (docs/shared.md)."""
--- /dev/null
+++ b/tests/raftworld.py
@@ -0,0 +1,283 @@
+"""Controllers that agree, on a virtual clock, with a network and disks that do their worst, and what must hold."""
+
+from __future__ import annotations
+
+import heapq
+import random
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field
+from typing import Any
+
+from kelpcourse.shared.messages import Config, Entry, Kind, Member, Message, Snapshot, Stored, Write
+from kelpcourse.shared.raft import Raft, Refused, Role, Timing
+
+MS = 1000
+TIMING = Timing(beat_us=20 * MS, election_us=100 * MS, entries=8, piece_bytes=16)
+
+
+class Broken(AssertionError):
+    """A rule of the agreement does not hold."""
+
+
+@dataclass
+class Disk:
+    """What is durable, and what was handed over and is not yet."""
+
+    stored: Stored
+    waiting: list[Write] = field(default_factory=list)
+
+    def sync(self) -> int:
+        """All that waits becomes durable; the last number."""
+        for write in self.waiting:
+            self.stored = applied(self.stored, write)
+        number = self.waiting[-1].number if self.waiting else 0
+        self.waiting.clear()
+        return number
+
+
+def applied(stored: Stored, write: Write) -> Stored:
+    entries = [e for e in stored.entries if write.cut is None or e.index < write.cut]
+    snapshot = write.snapshot or stored.snapshot
+    if write.snapshot is not None:
+        kept = [e for e in entries if e.index == snapshot.index]
+        same = bool(kept) and kept[0].term == snapshot.term
+        entries = [e for e in entries if e.index > snapshot.index] if same else []
+    return Stored(write.term, write.vote, snapshot, (*entries, *write.entries))
+
+
+@dataclass
+class Node:
+    name: Member
+    disk: Disk
+    rate: float  # of its clock
+    raft: Raft | None = None
+    applied: list[tuple[int, bytes]] = field(default_factory=list)
+    offset_us: int = 0
+    paused: bool = False
+
+
+class World:
+    def __init__(self, seed: int, count: int = 3, make: type[Raft] = Raft, learners: int = 0,
+                 compact_every: int = 0) -> None:
+        self.random = random.Random(seed)
+        self.make = make
+        self.now = 0
+        self.loss = 0.0
+        self.doubled = 0.0
+        self.delay_us = (1 * MS, 5 * MS)
+        self.sync_us = (0, 3 * MS)
+        self.cut: set[tuple[Member, Member]] = set()  # one way
+        self.compact_every = compact_every
+        self.leaders: dict[int, Member] = {}  # by term
+        self.committed: dict[int, tuple[int, bytes]] = {}  # by index: term and data
+        self.accepted: list[bytes] = []
+        self._queue: list[tuple[int, int, Callable[[], None]]] = []
+        self._order = 0
+        names = [f"n{k}" for k in range(count)]
+        config = Config(frozenset(names[:count - learners]), frozenset(names[count - learners:]))
+        self.nodes = {name: self._node(name, config) for name in names}
+        for node in self.nodes.values():
+            self.start(node)
+
+    def _node(self, name: Member, config: Config) -> Node:
+        return Node(name, Disk(Stored(0, None, Snapshot(0, 0, config, b""))), 1.0)
+
+    # Time
+
+    def at(self, after_us: int, what: Callable[[], None]) -> None:
+        self._order += 1
+        heapq.heappush(self._queue, (self.now + after_us, self._order, what))
+
+    def clock(self, node: Node) -> int:
+        return round(self.now * node.rate) + node.offset_us
+
+    def run(self, span_us: int, each: Callable[[], None] = lambda: None) -> None:
+        ends = self.now + span_us
+        while self._queue and self._queue[0][0] <= ends:
+            self.now, _, what = heapq.heappop(self._queue)
+            what()
+            self.check()
+            each()
+        self.now = ends
+
+    # Nodes
+
+    def start(self, node: Node) -> None:
+        node.raft = raft = self.make(node.name, node.disk.stored, TIMING, self.random.randrange(1 << 30),
+                                     self.clock(node))
+        node.applied = [(node.disk.stored.snapshot.index, node.disk.stored.snapshot.data)]
+        self._tick(node, raft)
+
+    def crash(self, node: Node) -> None:
+        """What was not durable is gone, but for what the disk happened to do already."""
+        keep = self.random.randint(0, len(node.disk.waiting))
+        del node.disk.waiting[keep:]
+        node.disk.sync()
+        node.raft = None
+
+    def _tick(self, node: Node, raft: Raft) -> None:
+        if node.raft is not raft:
+            return
+        if not node.paused:
+            raft.tick(self.clock(node))
+            self.take(node)
+        self.at(5 * MS, lambda: self._tick(node, raft))
+
+    def deliver(self, sender: Member, to: Member, message: Message) -> None:
+        node = self.nodes.get(to)
+        if node is None or node.raft is None or (sender, to) in self.cut:
+            return
+        if node.paused:  # it stays in the socket's buffer
+            self.at(20 * MS, lambda: self.deliver(sender, to, message))
+            return
+        node.raft.receive(self.clock(node), sender, message)
+        self.take(node)
+
+    def take(self, node: Node) -> None:
+        assert node.raft is not None
+        out = node.raft.take()
+        if out.writes:
+            node.disk.waiting += out.writes
+            raft = node.raft
+            self.at(self.random.randint(*self.sync_us), lambda: self._synced(node, raft))
+        for to, message in out.messages:
+            self._send(node.name, to, message)
+        if out.installed is not None:
+            node.applied = [(out.installed.index, out.installed.data)]
+        for entry in out.committed:
+            self._apply(node, entry)
+
+    def _synced(self, node: Node, raft: Raft) -> None:
+        if node.raft is raft and node.disk.waiting:
+            raft.written(self.clock(node), node.disk.sync())
+            self.take(node)
+
+    def _send(self, sender: Member, to: Member, message: Message) -> None:
+        for _ in range(1 + (self.random.random() < self.doubled)):
+            if self.random.random() >= self.loss and (sender, to) not in self.cut:
+                self.at(self.random.randint(*self.delay_us), lambda: self.deliver(sender, to, message))
+
+    def _apply(self, node: Node, entry: Entry) -> None:
+        last, state = node.applied[-1]
+        if entry.index != last + 1:
+            raise Broken(f"{node.name} applies {entry.index} after {last}")
+        data = entry.data if entry.kind is Kind.DATA else b""
+        node.applied.append((entry.index, state + data))
+        known = self.committed.setdefault(entry.index, (entry.term, data))
+        if known != (entry.term, data):
+            raise Broken(f"at {entry.index} {node.name} commits {entry.term, data}, another one {known}")
+        if self.compact_every and entry.index % self.compact_every == 0 and node.raft is not None:
+            node.raft.compact(entry.index, node.applied[-1][1])
+
+    # What must hold
+
+    def check(self) -> None:
+        for node in self.nodes.values():
+            raft = node.raft
+            if raft is None:
+                continue
+            if raft.role is Role.LEADER:
+                other = self.leaders.setdefault(raft.term, node.name)
+                if other != node.name:
+                    raise Broken(f"two leaders of term {raft.term}: {other} and {node.name}")
+                self._check_complete(raft)
+
+    def _check_complete(self, raft: Raft) -> None:
+        """A leader holds all that was committed (5.4)."""
+        if raft.term < max(self.leaders):
+            return
+        for index, (term, _) in self.committed.items():
+            if index > raft.log.snapshot.index and raft.log.term_at(index) != term:
+                raise Broken(f"{raft.me} leads term {raft.term} without the committed entry {index}")
+
+    def check_logs(self) -> None:
+        """Log matching: an index and term in two logs mean the same up to there."""
+        logs = [n.raft.log for n in self.nodes.values() if n.raft is not None]
+        for one in logs:
+            for other in logs:
+                low, high = max(one.snapshot.index, other.snapshot.index), min(one.last_index, other.last_index)
+                same = False
+                for index in range(high, low, -1):
+                    if one.term_at(index) == other.term_at(index):
+                        same = True
+                    if same and one.entry(index) != other.entry(index):
+                        raise Broken(f"logs part before {index}, where they agree")
+
+    # Use
+
+    @property
+    def leader(self) -> Node | None:
+        led = [n for n in self.nodes.values() if n.raft is not None and n.raft.role is Role.LEADER and not n.paused]
+        return max(led, key=lambda n: n.raft.term if n.raft is not None else 0, default=None)
+
+    def propose(self, data: bytes) -> bool:
+        node = self.leader
+        if node is None or node.raft is None:
+            return False
+        try:
+            node.raft.propose(self.clock(node), data)
+        except Refused:
+            return False
+        self.take(node)
+        return True
+
+    def change(self, voters: Iterable[Member], learners: Iterable[Member] = ()) -> None:
+        node = self.leader
+        assert node is not None
+        assert node.raft is not None
+        node.raft.change(self.clock(node), Config(frozenset(voters), frozenset(learners)))
+        self.take(node)
+
+    def until(self, what: Callable[[], Any], patience_us: int = 20_000 * MS) -> None:
+        ends = self.now + patience_us
+        while not what():
+            if self.now >= ends:
+                raise Broken("it did not come about")
+            self.run(10 * MS)
+
+    def heal(self) -> None:
+        self.cut.clear()
+        self.loss = self.doubled = 0.0
+        for node in self.nodes.values():
+            node.paused = False
+            if node.raft is None:
+                self.start(node)
+
+    def everywhere(self, data: bytes) -> bool:
+        """Whether every running voter has applied it."""
+        return all(data in n.applied[-1][1] for n in self.nodes.values() if n.raft is not None)
+
+
+def storm(world: World, steps: int, churn: bool = True) -> None:
+    """Faults drawn from the world's seed, proposals between them."""
+    draw = world.random
+    names = sorted(world.nodes)
+    for step in range(steps):
+        node = world.nodes[draw.choice(names)]
+        what = draw.randrange(10)
+        if what == 0 and churn:
+            if node.raft is None:
+                world.start(node)
+            else:
+                world.crash(node)
+        elif what == 1:
+            world.cut = {(a, b) for a in names for b in names if draw.random() < 0.3}
+        elif what == 2:
+            half = set(draw.sample(names, len(names) // 2))
+            world.cut = {(a, b) for a in names for b in names if (a in half) != (b in half)}
+        elif what == 3:
+            world.cut.clear()
+        elif what == 4:
+            world.loss, world.doubled = draw.choice([(0.0, 0.0), (0.2, 0.0), (0.1, 0.3)])
+        elif what == 5:
+            node.paused = not node.paused
+        elif what == 6:
+            world.delay_us = draw.choice([(1 * MS, 5 * MS), (1 * MS, 80 * MS)])
+        elif what == 7 and node.raft is not None:
+            node.offset_us += draw.choice([0, 50 * MS])
+        for k in range(draw.randint(0, 3)):
+            data = b"<%d.%d>" % (step, k)
+            if world.propose(data):
+                world.accepted.append(data)
+        world.run(draw.randint(5 * MS, 150 * MS))
+        world.check_logs()
