--- a/tests/raftworld.py
+++ b/tests/raftworld.py
@@ -8,8 +8,9 @@
 from dataclasses import dataclass, field
 from typing import Any
 
-from kelpcourse.shared.messages import Config, Entry, Kind, Member, Message, Snapshot, Stored, Write
+from kelpcourse.shared.messages import Config, Entry, Kind, Member, Snapshot, Stored, Write
 from kelpcourse.shared.raft import Raft, Refused, Role, Timing
+from kelpcourse.shared.recovery import applied
 
 MS = 1000
 TIMING = Timing(beat_us=20 * MS, election_us=100 * MS, entries=8, piece_bytes=16)
@@ -35,16 +36,6 @@
         return number
 
 
-def applied(stored: Stored, write: Write) -> Stored:
-    entries = [e for e in stored.entries if write.cut is None or e.index < write.cut]
-    snapshot = write.snapshot or stored.snapshot
-    if write.snapshot is not None:
-        kept = [e for e in entries if e.index == snapshot.index]
-        same = bool(kept) and kept[0].term == snapshot.term
-        entries = [e for e in entries if e.index > snapshot.index] if same else []
-    return Stored(write.term, write.vote, snapshot, (*entries, *write.entries))
-
-
 @dataclass
 class Node:
     name: Member
@@ -123,13 +114,17 @@
             self.take(node)
         self.at(5 * MS, lambda: self._tick(node, raft))
 
-    def deliver(self, sender: Member, to: Member, message: Message) -> None:
+    def deliver(self, sender: Member, to: Member, message: Any) -> None:
         node = self.nodes.get(to)
         if node is None or node.raft is None or (sender, to) in self.cut:
             return
         if node.paused:  # it stays in the socket's buffer
             self.at(20 * MS, lambda: self.deliver(sender, to, message))
             return
+        self._received(node, sender, message)
+
+    def _received(self, node: Node, sender: Member, message: Any) -> None:
+        assert node.raft is not None
         node.raft.receive(self.clock(node), sender, message)
         self.take(node)
 
@@ -152,7 +147,7 @@
             raft.written(self.clock(node), node.disk.sync())
             self.take(node)
 
-    def _send(self, sender: Member, to: Member, message: Message) -> None:
+    def _send(self, sender: Member, to: Member, message: Any) -> None:
         for _ in range(1 + (self.random.random() < self.doubled)):
             if self.random.random() >= self.loss and (sender, to) not in self.cut:
                 self.at(self.random.randint(*self.delay_us), lambda: self.deliver(sender, to, message))
--- a/tests/test_shared_leases.py
+++ b/tests/test_shared_leases.py
@@ -12,12 +12,12 @@
 from hypothesis import strategies as st
 
 from kelpcourse.shared import ledger as facts
+from kelpcourse.shared.controller import Controller, Gained, PeerMessage, Shape
 from kelpcourse.shared.leases import Ask, Fence, Holder, Keeper, Renewed, Terms
 from kelpcourse.shared.ledger import Ledger, restored
-from kelpcourse.shared.messages import Entry, Kind, Member
+from kelpcourse.shared.messages import Entry, Member
 from kelpcourse.shared.placement import jump, most_of, moved, place, ring
-from kelpcourse.shared.raft import Refused, Role
-from tests.raftworld import MS, Broken, Node, World
+from tests.raftworld import MS, TIMING, Broken, Node, World
 
 GROUPS = 6
 TERMS = Terms(length_us=300 * MS, drift=0.1, renew_us=50 * MS, silent_us=200 * MS, moves=2)
@@ -176,102 +176,75 @@
 # Leases over agreement, in storms
 
 class Fleet(World):
-    """Controllers with leases, each on its own clock; what must hold is looked at on the world's."""
+    """Controllers, each on its own clock; what must hold is looked at on the world's."""
 
     def __init__(self, seed: int, count: int = 3, holder: type[Holder] = Holder, keeper: type[Keeper] = Keeper,
-                 rates: tuple[float, ...] = (0.96, 1.0, 1.04), terms: Terms = TERMS) -> None:
-        self.terms = terms
+                 rates: tuple[float, ...] = (0.96, 1.0, 1.04), terms: Terms = TERMS, keep_entries: int = 4096) -> None:
+        self.shape = Shape(GROUPS, TIMING, terms, keep_entries)
         self.make_holder, self.make_keeper = holder, keeper
-        self.ledgers: dict[Member, Ledger] = {}
-        self.holders: dict[Member, Holder] = {}
-        self.keepers: dict[Member, tuple[int, Keeper]] = {}
-        self.proposed: dict[Member, dict[tuple[int, int], Any]] = {}
+        self.controllers: dict[Member, Controller] = {}
         self.epochs: dict[tuple[int, int], Member] = {}  # who ordered under it
         self.highest: dict[int, int] = {}
         self.handled = 0
+        self.states: dict[int, bytes] = {}
         super().__init__(seed, count)
         for node in self.nodes.values():
             node.rate = self.random.choice(rates)
 
     def start(self, node: Node) -> None:
-        self.ledgers[node.name] = restored(b"")
-        self.holders[node.name] = self.make_holder(node.name, self.terms)
-        self.keepers.pop(node.name, None)
-        self.proposed[node.name] = {}
-        super().start(node)
-
-    def _apply(self, node: Node, entry: Entry) -> None:
-        super()._apply(node, entry)
-        if entry.kind is not Kind.DATA:
+        stored = node.disk.stored
+        made = Controller(node.name, stored, self.shape, self.random.randrange(1 << 30), self.clock(node),
+                          make_holder=self.make_holder, make_keeper=self.make_keeper)
+        self.controllers[node.name] = made
+        node.raft, node.applied = made.raft, [(stored.snapshot.index, b"")]
+        made.on_applied = lambda entry, _: self._apply(node, entry)
+        self._tick_controller(node, made)
+
+    def _tick_controller(self, node: Node, made: Controller) -> None:
+        if node.raft is not made.raft:
             return
-        fact = facts.decode(entry.data)
-        self.ledgers[node.name].take(fact)
-        self.holders[node.name].ledger_changed(self.ledgers[node.name])
-        if node.name in self.keepers:
-            self.keepers[node.name][1].committed(fact, self.clock(node))
-
-    def check(self) -> None:
-        super().check()
-        self._lead_and_hold()
-        self._one_holder()
+        if not node.paused:
+            made.tick(self.clock(node))
+            self.take(node)
+        self.at(5 * MS, lambda: self._tick_controller(node, made))
 
-    def _lead_and_hold(self) -> None:
-        for node in self.nodes.values():
-            raft, now = node.raft, self.clock(node)
-            if raft is None or node.paused:
-                continue
-            if raft.role is not Role.LEADER:
-                self.keepers.pop(node.name, None)
-            elif raft.log.term_at(raft.commit) == raft.term:
-                self._keep(node, now)
-            ask = self.holders[node.name].ask(now)
-            leader = raft.leader
-            if ask is not None and leader is not None:
-                self.at(self.random.randint(*self.delay_us), partial(self._ask, node.name, leader, ask))
-
-    def _keep(self, node: Node, now: int) -> None:
-        raft = node.raft
-        assert raft is not None
-        ledger = self.ledgers[node.name]
-        if self.keepers.get(node.name, (0, None))[0] != raft.term:
-            self.keepers[node.name] = raft.term, self.make_keeper(self.terms, ledger, now)
-            if not ledger.leases:
-                self._put(node, facts.Began(GROUPS))
-        for fact in self.keepers[node.name][1].step(now, sorted(self.nodes)):
-            self._put(node, fact)
-
-    def _put(self, node: Node, fact: Any) -> None:
-        assert node.raft is not None
-        try:
-            node.raft.propose(self.clock(node), facts.encode(fact))
-        except Refused:
-            if node.name in self.keepers:
-                self.keepers[node.name][1].lost(fact)
-            return
+    def _received(self, node: Node, sender: Member, message: PeerMessage) -> None:
+        self.controllers[node.name].receive(self.clock(node), sender, message)
         self.take(node)
 
-    def _ask(self, sender: Member, to: Member, ask: Ask) -> None:
-        node = self.nodes[to]
-        if node.paused:
-            self.at(20 * MS, lambda: self._ask(sender, to, ask))
-            return
-        if node.raft is None or to not in self.keepers or (sender, to) in self.cut:
-            return
-        answer = self.keepers[to][1].asked(sender, ask, self.clock(node), node.raft.led_until_us())
-        if answer is not None and (to, sender) not in self.cut and self.random.random() >= self.loss:
-            holder = self.holders[sender]
-            self.at(self.random.randint(*self.delay_us), partial(self._renew, holder, answer))
+    def take(self, node: Node) -> None:
+        made = self.controllers[node.name]
+        out = made.take()
+        if out.writes:
+            node.disk.waiting += out.writes
+            self.at(self.random.randint(*self.sync_us), lambda: self._synced_controller(node, made))
+        for to, message in out.messages:
+            self._send(node.name, to, message)
 
-    def _renew(self, holder: Holder, answer: Renewed) -> None:
-        holder.renewed(answer)
+    def _synced_controller(self, node: Node, made: Controller) -> None:
+        if node.raft is made.raft and node.disk.waiting:
+            made.written(self.clock(node), node.disk.sync())
+            self.take(node)
 
-    def _one_holder(self) -> None:
+    def _apply(self, node: Node, entry: Entry) -> None:
+        """A snapshot may stand between two entries here; what is committed is the same at all, and leaves the same
+        ledger."""
+        node.applied[-1] = entry.index - 1, b""
+        super()._apply(node, entry)
+        node.applied = node.applied[-1:]
+        after = self.controllers[node.name].ledger.snapshot()
+        known = self.states.setdefault(entry.index, after)
+        if known != after:
+            raise Broken(f"two ledgers after entry {entry.index}")
+
+    def check(self) -> None:
+        super().check()
         holding: dict[int, tuple[Member, int]] = {}
-        for name, holder in self.holders.items():
+        for name, made in self.controllers.items():
             node = self.nodes[name]
             if node.raft is None:
                 continue
-            for group, epoch in holder.holds(self.clock(node)).items():
+            for group, epoch in made.holder.holds(self.clock(node)).items():
                 if group in holding:
                     raise Broken(f"group {group} is held by {name} and {holding[group][0]}")
                 holding[group] = name, epoch
@@ -327,6 +300,49 @@
     assert fleet.now - began < 200 * MS + TERMS.kept_us * 1.1 + 2 * TERMS.renew_us + 200 * MS
 
 
+def test_facts_reach_the_ledger_whoever_leads_and_are_told_until_they_do() -> None:
+    for seed in range(6):
+        fleet = Fleet(seed, 3, keep_entries=10)
+        fleet.until(lambda fleet=fleet: fleet.handled == GROUPS)  # type: ignore[misc]
+        for k in range(12):
+            name = fleet.random.choice(sorted(fleet.nodes))
+            fleet.loss = 0.3
+            node = fleet.nodes[name]
+            fleet.controllers[name].learn(fleet.clock(node), facts.Withdrew(f"h-{k}", 1000 + k))
+            fleet.controllers[name].learn(fleet.clock(node), facts.Cleared(f"h-{k}", 0, 1000 + k))
+            fleet.take(node)
+            fleet.run(30 * MS)
+        fleet.loss = 0.0
+        fleet.until(lambda fleet=fleet: all(  # type: ignore[misc]
+            len(c.ledger.withdrawn) == 12 for c in fleet.controllers.values()), 5000 * MS)
+        assert any(c.raft.log.snapshot.index for c in fleet.controllers.values())
+
+
+def test_a_successor_is_told_what_to_shut_out_first_and_what_was_learned() -> None:
+    fleet = Fleet(2, 3)
+    fleet.until(lambda: fleet.handled == GROUPS)
+    victim = next(n for n in fleet.nodes.values() if n is not fleet.leader)
+    made = fleet.controllers[victim.name]
+    held = made.holder.holds(fleet.clock(victim))
+    group, epoch = next(iter(held.items()))
+    made.learn(fleet.clock(victim), facts.Withdrew("h", 77))
+    made.learn(fleet.clock(victim), facts.Carried(group, epoch, (1.0, 0.5), 300.0))
+    fleet.take(victim)
+    fleet.until(lambda: fleet.controllers[victim.name].ledger.leases[group].volume == 300.0)
+    fleet.crash(victim)
+    gained: list[Gained] = []
+    taken = Controller.take
+
+    def noted(made: Controller) -> Any:
+        out = taken(made)
+        gained.extend(e for e in out.events if isinstance(e, Gained) and e.group == group)
+        return out
+    with pytest.MonkeyPatch.context() as patch:
+        patch.setattr(Controller, "take", noted)
+        fleet.until(lambda: gained)
+    assert gained[0] == Gained(group, epoch + 1, {"h": 77}, (1.0, 0.5), 300.0)
+
+
 # Mutants of leases
 
 class CountsFromTheAnswer(Holder):
