--- a/kelpcourse/cli/main.py
+++ b/kelpcourse/cli/main.py
@@ -22,10 +22,11 @@
     from kelpcourse.kdl import BadSettings
     from kelpcourse.service.config import BadConfig
     from kelpcourse.store.folder import InUse
+    from kelpcourse.store.spool import NoAnswer
     from kelpcourse.zones.errors import BadZone
     try:
         yield
-    except (BadSettings, BadConfig, BadZone, InUse) as error:
+    except (BadSettings, BadConfig, BadZone, InUse, NoAnswer) as error:
         click.echo("\n".join(f"kelpcourse: {line}" for line in str(error).splitlines()), err=True)
         sys.exit(BAD_SETTINGS)
     except OSError as error:
@@ -210,6 +211,59 @@
         _end_with([f"the certificate ends in {settings.days_left:.0f} days"])
 
 
+@shared.command("run")
+@click.argument("file", type=FILE)
+@plainly
+def shared_run(file: Path) -> None:
+    """A controller of the fleet in FILE, without a director behind it so far."""
+    from kelpcourse.shared.disk import Forgotten
+    from kelpcourse.shared.settings import read_settings
+    from kelpcourse.shared.standalone import serve
+    try:
+        sys.exit(serve(file, read_settings(file)))
+    except Forgotten as error:
+        click.echo(f"kelpcourse: {error}", err=True)
+        sys.exit(BAD_SETTINGS)
+
+
+@shared.command("status")
+@click.argument("file", type=FILE)
+@click.option("--json", "as_json", is_flag=True)
+@plainly
+def shared_status(file: Path, as_json: bool) -> None:
+    """What the controller of FILE knows: leader, members and their lag, groups, holders, epochs, leases."""
+    import orjson
+
+    from kelpcourse.shared.settings import read_settings
+    from kelpcourse.shared.standalone import command, status_lines
+    told = command(read_settings(file).state, "status", "")
+    click.echo(orjson.dumps(told).decode() if as_json else "\n".join(status_lines(told)))
+
+
+def _member_command(name: str, help_: str) -> None:
+    @shared.command(name, help=help_)
+    @click.argument("file", type=FILE)
+    @click.argument("member")
+    @plainly
+    def run(file: Path, member: str) -> None:
+        from kelpcourse.shared.settings import read_settings
+        from kelpcourse.shared.standalone import command
+        told = command(read_settings(file).state, name, member)
+        if told.get("error"):
+            click.echo(f"kelpcourse: {told['error']}", err=True)
+            sys.exit(BAD_SETTINGS)
+        click.echo(told["done"])
+
+
+for _name, _help in (
+        ("add", "Adds MEMBER: first it learns, and said again, once it has caught up, it votes. At the leader."),
+        ("remove", "Removes MEMBER from the fleet. At the leader."),
+        ("transfer", "Hands leadership to MEMBER. At the leader."),
+        ("drain", "MEMBER is given no groups any more, and those it has go to others. At the leader."),
+        ("undrain", "MEMBER may hold groups again. At the leader.")):
+    _member_command(_name, _help)
+
+
 @cli.command("demo")
 @plainly
 def run_demo() -> None:
--- a/kelpcourse/shared/member.py
+++ b/kelpcourse/shared/member.py
@@ -133,6 +133,24 @@
         self._change(controller, Config(config.voters - gone, config.learners - gone))
         return f"{', '.join(sorted(gone))} removed"
 
+    def transfer(self, name: str) -> str:
+        """Raises Refused."""
+        controller = self._leading()
+        to = next((m for m in controller.raft.config.voters if name in (m, name_of(m))), name)
+        controller.raft.hand_over(self._loop.clock(), to)
+        controller.tick(self._loop.clock())
+        self._carry_out()
+        return f"leadership goes to {to}"
+
+    def drain(self, name: str, drains: bool = True) -> str:
+        """Known to this leader alone: another one has to be told again. Raises Refused."""
+        controller = self._leading()
+        named = {m for m in controller.raft.config.all if name in (m, name_of(m))}
+        if not named:
+            raise Refused(f"{name} is no member")
+        controller.drains = controller.drains | named if drains else controller.drains - named
+        return f"{', '.join(sorted(named))} {'holds nothing any more' if drains else 'may hold groups again'}"
+
     def _leading(self) -> Controller:
         if self.controller is None or self.controller.raft.role is not Role.LEADER:
             raise Refused("not the leader")
--- a/kelpcourse/zones/offline.py
+++ b/kelpcourse/zones/offline.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-import os
-import time
 from collections.abc import Iterable, Sequence
 from dataclasses import dataclass
 from pathlib import Path
@@ -16,18 +14,18 @@
 from kelpcourse.service.clock import Clock
 from kelpcourse.store.folder import Folder, InUse
 from kelpcourse.store.recovery import recover
+from kelpcourse.store.spool import ask
 from kelpcourse.wire.loop import Loop
 from kelpcourse.zones.book import Replay
 from kelpcourse.zones.errors import BadZone
 from kelpcourse.zones.held import HeldZone
 from kelpcourse.zones.names import read_name
-from kelpcourse.zones.service import Around, Restore, Restored, Zones, write_whole
+from kelpcourse.zones.service import Around, Restore, Restored, Zones
 from kelpcourse.zones.settings import ZonesSettings, shown
 from kelpcourse.zones.standalone import kept
 from kelpcourse.zones.union import Union
 from kelpcourse.zones.zonefile import read_file
 
-ANSWER_S = 10.0  # for a server to carry a command out
 READ_TRIES = 5  # of a folder that a server compacts meanwhile
 
 
@@ -91,18 +89,7 @@
 
 
 def _by_server(state: Path, command: Restore) -> Restored:
-    name = f"{os.getpid()}-{time.monotonic_ns()}.json"
-    write_whole(state / f"command-{name}", msgspec.json.encode(command))
-    answer = state / f"answer-{name}"
-    ends = time.monotonic() + ANSWER_S
-    while not answer.exists():
-        if time.monotonic() > ends:
-            (state / f"command-{name}").unlink(missing_ok=True)
-            raise BadZone(f"the server that holds {state} did not answer within {ANSWER_S:.0f} s")
-        time.sleep(0.02)
-    restored = msgspec.json.decode(answer.read_bytes(), type=Restored)
-    answer.unlink()
-    return restored
+    return msgspec.json.decode(ask(state, msgspec.json.encode(command)), type=Restored)
 
 
 class _Quiet:
--- a/kelpcourse/zones/service.py
+++ b/kelpcourse/zones/service.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import os
 import time
 from collections.abc import Callable, Iterable, Sequence
 from dataclasses import dataclass
@@ -18,6 +17,7 @@
 from kelpcourse.store.commit import Settled
 from kelpcourse.store.folder import Folder
 from kelpcourse.store.journal import Journal
+from kelpcourse.store.spool import commands, write_whole
 from kelpcourse.wire.storage import Thread, Writer
 from kelpcourse.wire.loop import Loop, Routine, Signal, Wait
 from kelpcourse.wire.parts import LogLike
@@ -367,17 +367,15 @@
         assert self.settings.state is not None
         while True:
             yield Wait(self.clock() + self._around.limits.zone_command_us)
-            for path in sorted(self.settings.state.glob("command-*.json")):
-                self._command(path)
+            for path, data in commands(self.settings.state):
+                self._command(path, data)
 
-    def _command(self, path: Path) -> None:
+    def _command(self, path: Path, data: bytes) -> None:
         def answer(restored: Restored) -> None:
-            write_whole(path.with_name(path.name.replace("command-", "answer-")), msgspec.json.encode(restored))
+            write_whole(path, msgspec.json.encode(restored))
         try:
-            command = msgspec.json.decode(path.read_bytes(), type=Restore)
-            path.unlink()
-        except (OSError, msgspec.DecodeError) as error:
-            path.unlink(missing_ok=True)
+            command = msgspec.json.decode(data, type=Restore)
+        except msgspec.DecodeError as error:
             answer(Restored(error=f"a command that can't be read: {error}"))
             return
         self.restore(command, answer)
@@ -440,12 +438,3 @@
     except OSError:
         return ()
     return stat.st_mtime_ns, stat.st_size, stat.st_ino
-
-
-def write_whole(path: Path, data: bytes) -> None:
-    """A file that others see whole or not at all."""
-    part = path.with_name(f"{path.name}.tmp")
-    with open(os.open(part, os.O_WRONLY | os.O_CREAT | os.O_TRUNC, 0o600), "wb") as file:
-        file.write(data)
-    os.rename(part, path)
-
