Steer groups under leases: a director for each group, calls under epochs, a relay that fences

Controllers agreed on holders and nobody ordered. A group that is gained gets a director of its own (module, outbox, calls, news), whose calls carry the epoch and are made only while the lease stands; what the fleet knows as withdrawn is shut out first; the lab's relay keeps the highest epoch of each group and turns lower ones away.

--- a/kelpcourse/lab/world.py
+++ b/kelpcourse/lab/world.py
@@ -6,6 +6,7 @@
 import contextlib
 import os
 import random
+import re
 import signal
 import socket
 import subprocess
@@ -21,12 +22,14 @@
 from kelpcourse.lab.forwarder import Forwarder
 from kelpcourse.lab.http import Caller, StandIn
 from kelpcourse.lab.rules import Checker
+from kelpcourse.shared.leases import Fence
 from kelpcourse.wire.loop import READ as READABLE
 from kelpcourse.wire.loop import Loop, Routine, Wait
 from kelpcourse.wire.stream import Act, Address
 
 TRANSIT_US = 50_000  # from the relay to a forwarder
 TURN_US = 100_000  # between two rounds of picks
+GROUP = re.compile(r"/v3/kv/groups/(\d+)/(?:orders\?epoch=(\d+)|events)\Z")
 RATE = 20  # requests of a forwarder in a round
 ANSWER_MS = 40.0
 
@@ -55,6 +58,7 @@
         self.orders: list[dict[str, Any]] = []
         self.hosts: dict[str, Address] = {}
         self.rooms: dict[str, str] = {}
+        self.lists: list[bytes] = []
         self.served: dict[str, int] = {}  # requests by host
         self.relay = StandIn(self.loop, self._serve_relay)
         self.discovery = StandIn(self.loop, self._serve_discovery)
@@ -63,7 +67,11 @@
         self.on_order: Callable[[Mapping[str, Any]], None] = lambda _: None
         self.on_log: Callable[[Mapping[str, Any]], None] = lambda _: None
         self._draw = random.Random(seed)
-        self._news: list[tuple[Caller, list[bytes]]] = []
+        self._news: list[tuple[frozenset[int], list[bytes]]] = []
+        self.groups = 1
+        self.fence = Fence()
+        self.fenced = 0  # calls that were turned away
+        self.calls: list[tuple[int | None, int]] = []  # group and epoch of those taken
         self._process: subprocess.Popen[bytes] | None = None
         self._collectors: dict[str, socket.socket] = {}
         self._tries: dict[tuple[str, str], int] = {}
@@ -85,26 +93,46 @@
             yield from caller.answer(200, b"")
 
     def _serve_discovery(self, caller: Caller) -> Act[None]:
-        """An empty list: in a run on zones nobody asks here."""
-        while (yield from caller.request()) is not None:
-            yield from caller.answer(200, b'{"revision":0,"complete":true,"members":[]}')
+        """The list as it stands, then what changes. In a run on zones nobody asks here."""
+        yield from caller.request()
+        yield from caller.open_body()
+        told = 0
+        while True:
+            for line in self.lists[told:]:
+                yield from caller.line(line)
+            told = len(self.lists)
+            yield from caller.line(b"")
+            yield Wait(now_us() + 50_000)
+
+    def list_hosts(self, entries: Sequence[dict[str, object]], whole: bool = True) -> None:
+        """Discovery tells these from now on."""
+        self.lists.append(orjson.dumps({"revision": len(self.lists) + 1, "complete": whole, "members": list(entries)}))
 
     # Relay
 
     def _serve_relay(self, caller: Caller) -> Act[None]:
+        """At `/v3/kv/groups/G/…` the forwarders of a group are ordered, under an epoch (`?epoch=`); elsewhere all."""
         while (call := (yield from caller.request())) is not None:
+            match = GROUP.match(call[0])
+            group = int(match[1]) if match else None
+            mine = [f for f in self.forwarders if group is None or f.number % self.groups == group]
             if call[0].endswith("/events"):
-                yield from self._tell_news(caller)
+                yield from self._tell_news(caller, mine)
                 return
+            if match and not self.fence.passes(int(match[1]), int(match[2])):
+                self.fenced += 1
+                yield from caller.answer(409, b'{"error":"Fenced"}')
+                continue
             orders = orjson.loads(call[1])["orders"]
             yield from caller.answer(200, b'{"ok_count":%d}' % len(orders))
-            self._take(orders)
+            self.calls.append((group, int(match[2]) if match else 0))
+            self._take(orders, mine)
 
-    def _take(self, orders: Sequence[dict[str, Any]]) -> None:
+    def _take(self, orders: Sequence[dict[str, Any]], forwarders: Sequence[Forwarder]) -> None:
         self.orders += orders
         for order in orders:
             self.on_order(order)
-        for forwarder in self.forwarders:
+        for forwarder in forwarders:
             self.loop.start("transit", self._carry(forwarder, orders))
 
     def _carry(self, forwarder: Forwarder, orders: Sequence[dict[str, Any]]) -> Routine:
@@ -117,14 +145,15 @@
                 self._say("applied", sidecar=forwarder.number, version=order["stamp"], lag_ms=TRANSIT_US / 1000)
 
     def _say(self, kind: str, **told: object) -> None:
-        for _, lines in self._news:
-            lines.append(orjson.dumps({"type": kind, "object": told}))
+        for numbers, lines in self._news:
+            if told["sidecar"] in numbers:
+                lines.append(orjson.dumps({"type": kind, "object": told}))
 
-    def _tell_news(self, caller: Caller) -> Act[None]:
+    def _tell_news(self, caller: Caller, forwarders: Sequence[Forwarder]) -> Act[None]:
         lines = [orjson.dumps({"type": "joined", "object": {
             "sidecar": f.number, "az": f.zone, "share": RATE * 1e6 / TURN_US, "standing": not f.bound}})
-            for f in self.forwarders]
-        entry = caller, lines
+            for f in forwarders]
+        entry = frozenset(f.number for f in forwarders), lines
         self._news.append(entry)
         sign_us = now_us()
         try:
--- a/kelpcourse/wire/relay.py
+++ b/kelpcourse/wire/relay.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Sequence
+from collections.abc import Callable, Iterable, Sequence
 
 import orjson
 
@@ -114,11 +114,14 @@
 class Calls:
     """Carries the outbox to the relay, call by call."""
 
-    def __init__(self, parts: Parts, address: Address, outbox: Outbox, waiting: Signal) -> None:
+    def __init__(self, parts: Parts, address: Address, outbox: Outbox, waiting: Signal,
+                 target: Callable[[], str | None] = lambda: ORDERS) -> None:
+        """`target`: where the next call goes, asked right before it; None: none may be made now."""
         self._parts = parts
         self._address = address
         self._outbox = outbox
         self._waiting = waiting
+        self._target = target
         self._client: HttpClient | None = None
         self._peer = address  # where that connection leads
         self._sent = 0  # orders of the call being made
@@ -189,6 +192,9 @@
 
     def _call(self) -> Act[None]:
         client = yield from self._connected()
+        target = self._target()
+        if target is None:
+            raise Throttled
         orders = self._outbox.begin()
         if not orders:  # all of them were bindings of proxies that have left meanwhile
             self._outbox.taken(0)
@@ -197,7 +203,7 @@
         self._sent = count
         self._parts.counters.add("relay_calls")
         self._parts.counters.add("relay_call_bytes", len(body))
-        yield from client.request("POST", ORDERS, body)
+        yield from client.request("POST", target, body)
         until_us = self._parts.clock() + self._parts.limits.answer_us
         yield from client.status(until_us)
         answer = yield from client.whole_body(until_us)
@@ -257,11 +263,12 @@
     """Keeps streams of news open and reports what they tell. Streams tell the same: while one breaks and is
     opened again, another goes on, and no proxy can leave and come back unseen."""
 
-    def __init__(self, parts: Parts, address: Address, outbox: Outbox, waiting: Signal) -> None:
+    def __init__(self, parts: Parts, address: Address, outbox: Outbox, waiting: Signal, target: str = EVENTS) -> None:
         self._parts = parts
         self._address = address
         self._outbox = outbox
         self._waiting = waiting
+        self._target = target
         self._proxies = Proxies(parts.limits.news_ahead, parts.limits.news_cover_us)
         self._first = 0  # stream at the address of now; those before it are on their way out
 
@@ -296,7 +303,7 @@
         limits = self._parts.limits
         client = yield from dial(address, limits, self._parts.clock() + limits.connect_us)
         try:
-            yield from client.request("GET", EVENTS, None)
+            yield from client.request("GET", self._target, None)
             status = yield from client.status(self._parts.clock() + limits.news_silence_us)
             if status != 200:
                 raise Broken(f"answered {status}")
