Share what every long-running part needs round it: loop, log, signals, routines that start again

The hosts of zones and of controllers, and the director, each had their own; TLS repeated its way of waiting three times. service/process.py and one loop in wire/tls.py serve all. No behaviour changes.

--- a/kelpcourse/service/director.py
+++ b/kelpcourse/service/director.py
@@ -14,6 +14,7 @@
 from typing import Protocol
 
 from kelpcourse.facade import Facade, Work
+from kelpcourse.interface import Settings
 from kelpcourse.memory.counters import Counters
 from kelpcourse.memory.outbox import Outbox
 from kelpcourse.service.clock import Clock
@@ -22,11 +23,11 @@
 )
 from kelpcourse.limits import Limits
 from kelpcourse.service.logs import Log
+from kelpcourse.service.process import kept
 from kelpcourse.service.signals import signal_routine
 from kelpcourse.wire.discovery import Discovery
-from kelpcourse.interface import Settings
 from kelpcourse.wire.listener import Listener, listen
-from kelpcourse.wire.loop import Loop, Routine, Signal, Wait
+from kelpcourse.wire.loop import Loop, Routine, Signal
 from kelpcourse.wire.parts import Parts
 from kelpcourse.wire.probes import Probes
 from kelpcourse.wire.relay import Calls, NewsReader
@@ -122,16 +123,7 @@
     def _keep(self, name: str, make: Callable[[], Routine]) -> None:
         """Runs a routine that the director can't do without: one that ends by a defect starts again, one that
         ends by itself has been replaced."""
-        self._loop.start(name, self._kept(name, make))
-
-    def _kept(self, name: str, make: Callable[[], Routine]) -> Routine:
-        while True:
-            try:
-                yield from make()
-                return
-            except Exception as error:  # told in full, so no defect hides; but proxies must not pay for it
-                self._defect(name, error)
-            yield Wait(self._loop.clock() + self._limits.restart_us)
+        self._loop.start(name, kept(self._loop, self._limits, name, make, self._defect))
 
     def _step(self, act: Callable[[int], object]) -> None:
         try:
--- a/kelpcourse/shared/standalone.py
+++ b/kelpcourse/shared/standalone.py
@@ -3,9 +3,7 @@
 from __future__ import annotations
 
 import os
-import signal
 import sys
-import traceback
 from collections.abc import Callable
 from pathlib import Path
 from typing import Any
@@ -14,18 +12,14 @@
 
 from kelpcourse.kdl import BadSettings
 from kelpcourse.limits import Limits
-from kelpcourse.memory.counters import Counters
-from kelpcourse.service.clock import Clock
-from kelpcourse.service.logs import Log
-from kelpcourse.service.signals import signal_routine
+from kelpcourse.service.process import Process
 from kelpcourse.shared.member import FleetMember, Place
 from kelpcourse.shared.peers import Tls
 from kelpcourse.shared.raft import Refused
 from kelpcourse.shared.settings import WARN_DAYS, SharedSettings, read_settings
 from kelpcourse.store.spool import ask, commands, write_whole
-from kelpcourse.wire.loop import Loop, Routine, Wait
+from kelpcourse.wire.loop import Routine, Wait
 from kelpcourse.wire.storage import Thread
-from kelpcourse.zones.standalone import kept
 
 DAY_US = 86_400_000_000
 
@@ -34,45 +28,27 @@
     """The loop, log, signals and commands round a member."""
 
     def __init__(self, path: Path, settings: SharedSettings, limits: Limits) -> None:
-        clock = Clock()
+        self._process = Process(settings.me, limits)
         self._path = path
         self._settings = settings
         self._limits = limits
-        self.counters = Counters()
-        self.log = Log(clock, limits, self.counters, settings.me)
-        self.loop = Loop(clock, self._defect)
+        self.loop, self.log = self._process.loop, self._process.log
         self._tls = settings.tls
-        self._stop = 0
         place = Place(settings.me, settings.addresses[settings.me], settings.others, settings.state, settings.begins,
                       self._current_tls)
-        self.member = FleetMember(self.loop, limits, self.counters, self.log, place, settings.shape, Thread(),
+        self.member = FleetMember(self.loop, limits, self._process.counters, self.log, place, settings.shape, Thread(),
                                   lambda _: None)
 
     def _current_tls(self) -> Tls | None:
         return self._tls
 
-    def _keep(self, name: str, make: Callable[[], Routine]) -> None:
-        self.loop.start(name, kept(self.loop, self._limits, name, make, self._defect))
-
     def run(self) -> int:
-        self.log.always("start", pid=os.getpid(), hosts=0, proxies=0)
-        self.loop.start("signals", signal_routine(self._on_signal))
-        self.member.start(self._keep)
-        self._keep("shared commands", self._run_commands)
-        self._keep("certificate", self._watch_certificate)
-        while not self._stop:
-            self.loop.turn(None)
-        self.member.close()
-        self.log.always("stop", signal=self._stop, counters=self.counters.snapshot())
-        return 0
-
-    def _on_signal(self, number: int) -> None:
-        if number == signal.SIGUSR1:
-            self.log.always("counters", counters=self.counters.snapshot())
-        elif number == signal.SIGHUP:
-            self._renew()
-        else:
-            self._stop = number
+        return self._process.run(self._start, self.member.close, self._renew)
+
+    def _start(self) -> None:
+        self.member.start(self._process.keep)
+        self._process.keep("shared commands", self._run_commands)
+        self._process.keep("certificate", self._watch_certificate)
 
     def _renew(self) -> None:
         """Certificates are read again; lines that are made from now on show them, those that stand go on."""
@@ -115,10 +91,6 @@
         self.log.always("shared_command", command=word, done=done)
         return {"done": done}
 
-    def _defect(self, routine: str, error: Exception) -> None:
-        self.counters.add("defects")
-        self.log.always("defect", routine=routine, error="".join(traceback.format_exception(error))[-3000:])
-
 
 def serve(path: Path, settings: SharedSettings) -> int:
     os.set_blocking(sys.stdout.fileno(), False)
--- a/kelpcourse/wire/tls.py
+++ b/kelpcourse/wire/tls.py
@@ -3,10 +3,15 @@
 from __future__ import annotations
 
 import ssl
+from collections.abc import Callable
+from functools import partial
+from typing import TypeVar
 
 from kelpcourse.wire.loop import READ, WRITE, Wait, Woken
 from kelpcourse.wire.stream import Act, Broken, Silent, Stream
 
+T = TypeVar("T")
+
 
 class TlsStream(Stream):
     """As a Stream, once `handshake` is through."""
@@ -18,40 +23,29 @@
         self._tls = sock
 
     def handshake(self, until_us: int) -> Act[None]:
-        while True:
-            try:
-                self._tls.do_handshake()
-                return
-            except ssl.SSLWantReadError:
-                yield from self._wait(READ, until_us)
-            except ssl.SSLWantWriteError:
-                yield from self._wait(WRITE, until_us)
-            except OSError as error:
-                raise Broken(f"TLS: {_reason(error)}") from None
+        yield from self._until_done(self._tls.do_handshake, "TLS", until_us)
 
     def recv_into(self, room: memoryview, until_us: int) -> Act[int]:
         """What is there, at least one byte; 0 is the end. Bytes that TLS holds already are not waited for."""
-        while True:
-            try:
-                return self._tls.recv_into(room)
-            except ssl.SSLWantReadError:
-                yield from self._wait(READ, until_us)
-            except ssl.SSLWantWriteError:
-                yield from self._wait(WRITE, until_us)
-            except OSError as error:
-                raise Broken(f"reading: {_reason(error)}") from None
+        return (yield from self._until_done(partial(self._tls.recv_into, room), "reading", until_us))
 
     def send(self, data: bytes, until_us: int) -> Act[None]:
         rest = memoryview(data)
         while rest:
+            sent = yield from self._until_done(partial(self._tls.send, rest), "writing", until_us)
+            rest = rest[sent:]
+
+    def _until_done(self, call: Callable[[], T], what: str, until_us: int) -> Act[T]:
+        """TLS may have to read to write, and the other way round."""
+        while True:
             try:
-                rest = rest[self._tls.send(rest):]
+                return call()
             except ssl.SSLWantReadError:
                 yield from self._wait(READ, until_us)
             except ssl.SSLWantWriteError:
                 yield from self._wait(WRITE, until_us)
             except OSError as error:
-                raise Broken(f"writing: {_reason(error)}") from None
+                raise Broken(f"{what}: {_reason(error)}") from None
 
     def _wait(self, mask: int, until_us: int) -> Act[None]:
         woken = yield Wait(until_us, self._tls.fileno(), mask)
--- a/kelpcourse/zones/offline.py
+++ b/kelpcourse/zones/offline.py
@@ -12,6 +12,7 @@
 from kelpcourse.memory.counters import Counters
 from kelpcourse.memory.hosts import Member
 from kelpcourse.service.clock import Clock
+from kelpcourse.service.process import kept
 from kelpcourse.store.folder import Folder, InUse
 from kelpcourse.store.recovery import recover
 from kelpcourse.store.spool import ask
@@ -22,7 +23,6 @@
 from kelpcourse.zones.names import read_name
 from kelpcourse.zones.service import Around, Restore, Restored, Zones
 from kelpcourse.zones.settings import ZonesSettings, shown
-from kelpcourse.zones.standalone import kept
 from kelpcourse.zones.union import Union
 from kelpcourse.zones.zonefile import read_file
 
