--- a/Makefile
+++ b/Makefile
@@ -25,3 +25,5 @@
 	$(BIN)/python -m benchmarks.loop_turn
 	$(BIN)/python -m benchmarks.zones
 	$(BIN)/python -m benchmarks.store
+	$(BIN)/python -m benchmarks.platform
+	$(BIN)/python -m benchmarks.shared
--- /dev/null
+++ b/benchmarks/platform.py
@@ -0,0 +1,71 @@
+"""What the platform's run costs, beside the version before: `python -m benchmarks.platform`.
+
+Both versions of `python -m kelpcourse` by turns, each with the lab's relay, discovery, 30 hosts and 60 forwarders that
+report, for some seconds. Processor time and resident memory are the system's own figures of the process.
+"""
+
+from __future__ import annotations
+
+import os
+import statistics
+import subprocess
+import sys
+import tarfile
+import tempfile
+from io import BytesIO
+from pathlib import Path
+
+from benchmarks.before import ROOT
+from kelpcourse.lab.config import READ, node_config
+from kelpcourse.lab.world import Lab
+from kelpcourse.zones.settings import shown
+
+BEFORE = "8251981"
+SECONDS = 8.0
+ROUNDS = 3
+
+
+def figures(pid: int) -> tuple[float, float]:
+    """Processor seconds so far, and MB."""
+    words = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
+    pages = int(Path(f"/proc/{pid}/statm").read_text().split()[1])
+    return (int(words[11]) + int(words[12])) / os.sysconf("SC_CLK_TCK"), pages * os.sysconf("SC_PAGE_SIZE") / 1e6
+
+
+def played(tree: Path) -> tuple[float, float]:
+    with tempfile.TemporaryDirectory() as name:
+        lab = Lab(Path(name), 60)
+        for k in range(30):
+            lab.add_host(f"s-{k}", f"room-{'ab'[k % 2]}")
+        lab.list_hosts([{"id": h, "host_port": shown(at), "locality": lab.rooms[h], "flavor": "m2", "cell": 0,
+                         "phase": "ready", "size": 1.0, "up_since_ms": 0} for h, at in lab.hosts.items()])
+        config = Path(name) / "config.json"
+        config.write_bytes(node_config(lab.listen, lab.discovery.address, lab.relay.address, 60))
+        process = subprocess.Popen([sys.executable, "-m", "kelpcourse"], cwd=tree, stdout=subprocess.DEVNULL,
+                                   env={**os.environ, "NODE_CONFIG": str(config), "PYTHONPATH": str(tree)})
+        lab.loop.start("requests", lab.run_requests())
+        if not lab.until(lambda: all(f.lines(READ) for f in lab.forwarders)):
+            raise SystemExit("the director does not steer")
+        before, _ = figures(process.pid)
+        lab.for_s(SECONDS)
+        after, memory = figures(process.pid)
+        process.kill()
+        process.wait()
+        lab.close()
+        return (after - before) / SECONDS, memory
+
+
+def main() -> None:
+    shown_ = subprocess.run(["git", "-C", str(ROOT), "archive", BEFORE, "kelpcourse"], capture_output=True, check=True)
+    with tempfile.TemporaryDirectory() as name:
+        with tarfile.open(fileobj=BytesIO(shown_.stdout)) as archive:
+            archive.extractall(name, filter="data")
+        rounds = [(played(Path(name)), played(ROOT)) for _ in range(ROUNDS)]
+    print("| | before | now |\n| --- | ---: | ---: |")
+    for at, what in ((0, "processor seconds a second"), (1, "resident memory, MB")):
+        old, new = (statistics.median(r[k][at] for r in rounds) for k in (0, 1))
+        print(f"| {what} | {old:.3f} | {new:.3f} |")
+
+
+if __name__ == "__main__":
+    main()
--- a/benchmarks/zones.py
+++ b/benchmarks/zones.py
@@ -239,7 +239,6 @@
     print("| --- | ---: | ---: | ---: |")
     with tempfile.TemporaryDirectory() as folder:
         served = Served(Path(folder), 1000)
-        time.sleep(0.5)  # its first generation is made
         query = dns.message.make_query("s-5." + ORIGIN, "A", flags=0).to_wire()
         for what, clients, wires in (
                 ("signed updates, each durable, one client", 1, [update(served.key, k).to_wire() for k in range(400)]),
