Split zones by all proxies seen, let withdrawals gather for half a grace, book turns in a row

They now gather once they would fill half of a grace, which makes them no later, as the channel is busy until then.

What waited for an answer was counted again into the turn of each later step; turns now follow in a row at the channel's pace. The split of traffic over zones came from who was joined at the moment, and four in five streams can be broken then; it comes from all proxies that ever joined, and so is the same at each director. Messages of proxies that left no longer hold back ordinary lines.

Tests fail with turns that count answers in flight, and with zones split by who is joined now.

--- a/kelpcourse/channel.py
+++ b/kelpcourse/channel.py
@@ -12,7 +12,7 @@
 class Step:
     number: int  # of its checkpoint
     at_us: int
-    due_us: int  # when it is through, by what waited when it was ordered
+    due_us: int  # when it is through at the channel's pace, or later
     lines: float  # that its orders put into the channel
     unanswered: float  # lines of those
     messages: int  # not answered
@@ -26,7 +26,7 @@
 
     def __init__(self, longest_us: int, lines_per_s: float) -> None:
         """`longest_us`: from an order to its answer through a full channel."""
-        self._longest_us, self._lines_per_s = longest_us, lines_per_s
+        self._longest_us, self._lines_per_s, self._due_us = longest_us, lines_per_s, 0
         self._steps: deque[Step] = deque()
         self._of: dict[ProxyId, deque[tuple[Step, float]]] = {}  # unanswered, oldest first
         self._unseen: list[tuple[int, float]] = []  # until when lines count
@@ -34,8 +34,8 @@
     def sent(self, number: int, now_us: int, lines: dict[ProxyId, float], others: float = 0.0) -> None:
         """Books a step's messages, by proxy, and about so many lines to others, of whom no answer is sure."""
         total = sum(lines.values())
-        due_us = now_us + int((self.waiting(now_us) + total + others) / self._lines_per_s * 1e6)
-        self._steps.append(step := Step(number, now_us, due_us, total, total, len(lines), others))
+        self._due_us = max(now_us, self._due_us) + int((total + others) / self._lines_per_s * 1e6)
+        self._steps.append(step := Step(number, now_us, self._due_us, total, total, len(lines), others))
         for proxy, cost in lines.items():
             self._of.setdefault(proxy, deque()).append((step, cost))
 
@@ -48,8 +48,7 @@
             step.messages -= 1
 
     def left(self, proxy: ProxyId) -> None:
-        """With its stream what waited for it is gone, but its turn in the channel is not: what was ordered
-        behind counted for up to 0.8 s after the last older message to another proxy was answered."""
+        """With its stream what waited for it is gone, but its turn is not: what is behind still waits."""
         for step, cost in self._of.pop(proxy, ()):
             step.lines -= cost
             step.unanswered -= cost
--- a/kelpcourse/decide.py
+++ b/kelpcourse/decide.py
@@ -28,7 +28,7 @@
 HOLD_US, ADOPT_TRIES, MASS = 6_000_000, 12.0, 15  # tables of before: kept, told by tries a host, if many join
 FORGET_US, ASK_FIRST_US = 30_000_000, 500_000  # a host is gone for good; first wait before asking again
 QUEUE_ORDINARY, QUEUE_BIND, QUEUE_WITHDRAW, QUEUE_MOST = 0.5, 0.6, 0.9, 0.95  # of the channel, up to all
-BIND_GRACE, FULL_GRACE, BIND_LEAST_US = 0.25, 0.7, 1_000_000  # of a drain's grace: bindings, all; at least
+BIND_GRACE, FULL_GRACE, BIND_LEAST_US = 0.25, 0.5, 1_000_000  # of a drain's grace: bindings, all; at least
 MESSAGES_ORDINARY, TABLE_PART, TABLE_LEAST, COVER = 0.6, 0.5, 12.0, 2.0  # messages; connections; lines; of
 GOLDEN, FIT, FIT_ROUNDS = 0.6180339887498949, (0.1, 4.0), 8  # even on a ring; how far a line is fitted
 Numbers = Sequence[float]
@@ -117,6 +117,7 @@
         self.out_hosts, self.dropped = dict[HostId, int](), dict[HostId, None]()  # withdrawn; to be
         self.holders: dict[TableId, dict[ProxyId, None]] = {table: {} for table in self.lines}
         self.loose = dict[ProxyId, None]()  # not bound to all their tables: they may hold any host
+        self.seen = dict[ProxyId, tuple[str, float]]()  # zone and usual rate of all that ever joined
         self.levels, self.volume = [1.0] * len(settings.classes), 0.0  # V: best good rate heard lately
         self.heard: dict[HostId, list[float]] = {}  # good answers and their time since last judged
         self.demand, self.arrived = ([0.0] * len(settings.classes) for _ in range(2))  # arrived: since then
@@ -124,7 +125,7 @@
         self.spans_us, self.cover_us = list[int](), settings.report_period_us  # a line's time
         self.level_log: deque[tuple[int, list[float]]] = deque([(0, list(self.levels))], maxlen=20)
         self.judged_us = self.lines_us = self.lag_us = self.listen_us = self.ask_due_us = self.number = 0
-        self.ask_wait_us, self.distinct, self.pause_us = ASK_FIRST_US, 1.0, [0, 0]  # part drawn for; rule 5
+        self.ask_wait_us, self.distinct, self.full_us = ASK_FIRST_US, 1.0, 0  # part drawn for; rule 5
         self.shedding = self.watching = self.urgent = False  # urgent until the next orders are out
         self.adopting, self.joins = True, deque[int](maxlen=max(2, settings.proxies // MASS))
 
@@ -156,7 +157,7 @@
                 self.channel.joined(proxy, self.now)
                 held_us = (self.now + HOLD_US) * (mass and not fresh)
                 self.proxies[proxy] = Proxy(zone, rate, held_us, sent=was.sent)
-                self.loose[proxy] = None
+                self.loose[proxy], self.seen[proxy] = None, (zone, rate)
             case ProxyLeft(proxy) if proxy in self.proxies:  # what it holds is not reported here any more
                 self.backlog *= 1 - 1 / len(self.proxies)
                 self._let_go(proxy, self.proxies.pop(proxy))
@@ -454,8 +455,8 @@
                 first = sum(at < group / self.groups for at, _ in ring)
                 run += [ring[(first + k) % len(ring)][1] for k in range(count)]
         come = [1e-9] * self.groups
-        for number, p in self.proxies.items():
-            come[number % self.groups] += p.usual_rate * (not key[3] or p.zone == key[3])
+        for number, (zone, rate) in self.seen.items():
+            come[number % self.groups] += rate * (zone == key[3])
         fit = dict.fromkeys(weights, 1.0)
         for _ in range(FIT_ROUNDS):
             got = dict.fromkeys(weights, 0.0)
@@ -484,8 +485,8 @@
     def _pull(self, home: str, weights: dict[HostId, float]) -> dict[str, float]:
         """With more proxies than a host accepts connections, hosts refuse and slow down: proxies then prefer
         hosts of their zone as far as no host's total changes. Hurts if usual rates are wrong."""
-        come = sum(p.usual_rate for p in self.proxies.values())
-        comes = {z: sum(p.usual_rate for p in self.proxies.values() if p.zone == z) / max(1e-9, come)
+        come = sum(rate for _, rate in self.seen.values())  # who is joined now is a chance part of the fleet
+        comes = {z: sum(rate for zone, rate in self.seen.values() if zone == z) / max(1e-9, come)
                  for z in self.s.zones}
         able = {z: sum(w for h, w in weights.items() if self.servers[h].host.zone == z) /
                 max(1e-9, sum(weights.values())) for z in self.s.zones}
@@ -500,7 +501,7 @@
         """Rule 5: lines that may still be ordered. Withdrawals (rule 3) and later solutions wait behind."""
         rate, grace_us = self.s.channel_lines_per_s / 1e6, self.s.drain_grace_us
         spans = {QUEUE_ORDINARY: PACE_US, QUEUE_BIND: max(BIND_LEAST_US, BIND_GRACE * grace_us),
-                 QUEUE_WITHDRAW: FULL_GRACE * grace_us}
+                 QUEUE_WITHDRAW: max(2 * BIND_LEAST_US, FULL_GRACE * grace_us)}
         return min(part * self.s.channel_backlog, rate * spans.get(part, float("inf"))) - self.queued
 
     def _need(self, table: TableId) -> float:
@@ -513,7 +514,7 @@
         self.cost[table] += 1
 
     def _publish(self) -> None:
-        if self.s.slices or self.now < self.pause_us[0]:
+        if self.s.slices or self.now < self.full_us:
             return
         self.queued = self.channel.waiting(self.now)
         self.cost, self.loose_hosts = Counter[TableId](), 0
@@ -521,12 +522,16 @@
         # An overload is answered at once, not with the lines' pace: drains restart that again and again.
         due = self.now - self.lines_us >= PACE_US or any(
             self.levels[i] < level - LEVEL_FALL for (_, i), level in self.levels_sent.items())
-        calm = self.now >= self.pause_us[1] and self._room(QUEUE_ORDINARY) > 0
-        if withdrawn or (self.urgent and self._room(QUEUE_MOST) > 0) or (due and calm):
+        if withdrawn or (self.urgent and self._room(QUEUE_MOST) > 0) or (
+                due and self._room(QUEUE_ORDINARY) > 0 and self._few_messages()):
             self._send_levels()
             self.urgent, self.lines_us = self._send_lines(), self.now
         self._checkpoint(self._bind_joined())
 
+    def _few_messages(self) -> bool:
+        usual, since = int(self.s.messages_most * MESSAGES_ORDINARY) + 1, self.now - self.s.messages_over_us
+        return all(len(p.sent) < usual or p.sent[-usual] <= since for p in self.proxies.values())
+
     def _withdraw_dropped(self) -> int:
         """Rule 3: a host that drains or is gone is withdrawn at once. Where that would fill most of a grace,
         all go together once the channel holds less than they need: heads cost more than hosts."""
@@ -537,13 +542,11 @@
                          for table, lines in self.lines.items() if host in lines)
             cost = bound + self._loose_lines(len(fresh) + 1)
             fresh += [host] if cost <= room else []
-        if self.queued > cost > self._room(QUEUE_WITHDRAW):
-            return 0
-        for host in fresh:
+        for host in [] if self.queued > cost > self._room(QUEUE_WITHDRAW) else fresh:
             self._order_host(host, True)
             del self.dropped[host]
             self.out_hosts[host] = self.now
-        return len(fresh)
+        return self.loose_hosts
 
     def _loose_lines(self, hosts: int) -> float:
         """What so many hosts cost proxies not bound yet, of which it is not known which hold them."""
@@ -645,11 +648,9 @@
         for table, count in self.cost.items():
             for number in self.holders[table]:
                 lines[number] += count
-        most, span_us = self.s.messages_most, self.s.messages_over_us
         for number in [*lines, *self.loose] if self.loose_hosts else lines:  # rule 5: messages within a span
             (times := self.proxies[number].sent).append(self.now)
-            for at, k in enumerate((most, int(most * MESSAGES_ORDINARY) + 1)):
-                if 0 < k <= len(times):
-                    self.pause_us[at] = max(self.pause_us[at], times[-k] + span_us)
+            if 0 < self.s.messages_most == len(times):
+                self.full_us = max(self.full_us, times[0] + self.s.messages_over_us)
         sent = {number: count + self.s.message_head + 1 for number, count in lines.items()}
         self.channel.sent(self.number, self.now, sent, self._loose_lines(self.loose_hosts))
--- a/tests/test_channel.py
+++ b/tests/test_channel.py
@@ -156,3 +156,14 @@
         answered.add(last[:2])
         day.send(OrdersApplied(last[0], last[1], 300_000))
         assert take() <= 4000
+
+
+def test_answers_that_are_late_do_not_slow_the_books() -> None:
+    """What was through but not answered yet was counted into the turn of all that followed."""
+    channel = Channel(LONGEST, 100.0)
+    for number in range(10):
+        channel.sent(number, number * SECOND, {1: 60.0})
+        if number > 1:
+            channel.applied(1, number - 2)
+    channel.applied(1, 9)
+    assert channel.waiting(10 * SECOND) == 0
--- a/tests/test_connections.py
+++ b/tests/test_connections.py
@@ -7,7 +7,9 @@
 
 import pytest
 
-from kelpcourse.interface import BindProxy, Checkpoint, Host, HostState, ProxyJoined, SetLine, Withdraw
+from kelpcourse.interface import (
+    BindProxy, Checkpoint, Host, HostState, ProxyJoined, ProxyLeft, SetLine, Withdraw,
+)
 from tests.fleet import SECOND, SETTINGS, Day, changes, host
 
 CROWDED = replace(SETTINGS, proxies=120, connections_least=100.0, channel_backlog=50_000.0)
@@ -114,3 +116,13 @@
     assert shares(day, "east")[100] == pytest.approx(1 / 20, rel=0.15)
     lone = Day(settings=CROWDED, listed=FLEET[:6], proxies=120)
     assert all(len(lines) == 6 for lines in lone.tables.values())
+
+
+def test_the_split_of_traffic_is_the_fleets_not_of_those_joined_just_now() -> None:
+    """Four in five streams broke: by who was left, tables sent requests abroad that their zone's hosts could do."""
+    day = joined(60, 60)
+    before = {zone: sum(shares(day, zone)[h.id] for h in FLEET[:6]) for zone in ("east", "west")}
+    day.send(*(ProxyLeft(p) for p in range(100) if p % 10))
+    day.until(day.now + 10 * SECOND)
+    after = {zone: sum(shares(day, zone)[h.id] for h in FLEET[:6]) for zone in ("east", "west")}
+    assert after == pytest.approx(before, rel=0.15)
