--- a/kelpcourse/channel.py
+++ b/kelpcourse/channel.py
@@ -17,6 +17,7 @@
     unanswered: float  # lines of those
     messages: int  # not answered
     others: float  # lines to proxies that may not answer
+    unsure: bool  # some of its lines are never answered: it has its turn at the channel's pace
 
 
 class Channel:
@@ -35,7 +36,8 @@
         """Books a step's messages, by proxy, and about so many lines to others, of whom no answer is sure."""
         total = sum(lines.values())
         self._due_us = max(now_us, self._due_us) + int((total + others) / self._lines_per_s * 1e6)
-        self._steps.append(step := Step(number, now_us, self._due_us, total, total, len(lines), others))
+        step = Step(number, now_us, self._due_us, total, total, len(lines), others, others > 0)
+        self._steps.append(step)
         for proxy, cost in lines.items():
             self._of.setdefault(proxy, deque()).append((step, cost))
 
@@ -43,16 +45,16 @@
         """A proxy's messages arrive in order: this one and all before it are through. Numbers start over."""
         numbers = [step.number for step, _ in self._of.get(proxy, ())]
         for _ in range(numbers.index(number) + 1 if number in numbers else 0):
-            step, cost = self._of[proxy].popleft()
-            step.unanswered -= cost
-            step.messages -= 1
+            self._answer(*self._of[proxy].popleft())
+
+    def _answer(self, step: Step, cost: float) -> None:
+        step.unanswered, step.messages = step.unanswered - cost, step.messages - 1
 
     def left(self, proxy: ProxyId) -> None:
         """With its stream what waited for it is gone, but its turn is not: what is behind still waits."""
         for step, cost in self._of.pop(proxy, ()):
-            step.lines -= cost
-            step.unanswered -= cost
-            step.messages -= 1
+            self._answer(step, cost)
+            step.lines, step.unsure = step.lines - cost, True
 
     def joined(self, proxy: ProxyId, now_us: int) -> None:
         """Of one that was not heard to leave, what waits may reach it yet, but no answer to it will come."""
@@ -70,7 +72,7 @@
         behind = False  # one that is surely still in the channel
         for step in self._steps:
             unanswered = step.messages > 0 and now_us - step.at_us < self._longest_us
-            held = unanswered or now_us < step.due_us
+            held = unanswered or (step.unsure and now_us < step.due_us)
             if not (behind or held or step.messages):
                 continue
             total += (step.lines if behind else step.unanswered) + step.others
