Count withdrawals that may go twice, and a proxy's message once a step

Read again after the fleet's work: - After a merge the hosts shut out go in a call without a mark, so a broken call of theirs, the largest there are, was not counted twice in the books. The mark that stands for them does (test fails without it). - A proxy both bound in part and sent lines was counted two messages for one; joins without anything waiting left an entry of no lines in the books for as long as a full channel takes; the bounds of what may wait were worked out anew for each line. - The test of what a withdrawal costs could hardly fail: it now counts the lines itself and asks for the same. - The books' tests share their beginning.

--- a/kelpcourse/channel.py
+++ b/kelpcourse/channel.py
@@ -25,9 +25,9 @@
     answered, too. After a broken stream later messages may be answered first, and it still holds them. None
     blocks those behind for longer than a full channel takes: it may stand still, or its answer be lost."""
 
-    def __init__(self, longest_us: int, lines_per_s: float) -> None:
+    def __init__(self, longest_us: int, lines_per_us: float) -> None:
         """`longest_us`: from an order to its answer through a full channel."""
-        self._longest_us, self._lines_per_s, self._due_us = longest_us, lines_per_s, 0
+        self._longest_us, self._lines_per_us, self._due_us = longest_us, lines_per_us, 0
         self._steps: deque[Step] = deque()
         self._of: dict[ProxyId, deque[tuple[Step, float]]] = {}  # unanswered, oldest first
         self._unseen: list[tuple[int, float]] = []  # until when lines count
@@ -35,7 +35,7 @@
     def sent(self, number: int, now_us: int, lines: dict[ProxyId, float], others: float = 0.0) -> None:
         """Books a step's messages, by proxy, and about so many lines to others, of whom no answer is sure."""
         total = sum(lines.values())
-        self._due_us = max(now_us, self._due_us) + int((total + others) / self._lines_per_s * 1e6)
+        self._due_us = max(now_us, self._due_us) + int((total + others) / self._lines_per_us)
         step = Step(number, now_us, self._due_us, total, total, len(lines), others, others > 0)
         self._steps.append(step)
         for proxy, cost in lines.items():
@@ -58,7 +58,8 @@
 
     def joined(self, proxy: ProxyId, now_us: int) -> None:
         """Of one that was not heard to leave, what waits may reach it yet, but no answer to it will come."""
-        self._unseen.append((now_us + self._longest_us, sum(cost for _, cost in self._of.get(proxy, ()))))
+        if waits := sum(cost for _, cost in self._of.get(proxy, ())):
+            self._unseen.append((now_us + self._longest_us, waits))
         self.left(proxy)
 
     def repeated(self, number: int, now_us: int) -> None:
--- a/kelpcourse/decide.py
+++ b/kelpcourse/decide.py
@@ -90,7 +90,7 @@
     return at(low)
 
 
-def worth_bounds(demand: Sequence[float], worth: Sequence[float], volume: float) -> list[float]:
+def worth_bounds(demand: Numbers, worth: Numbers, volume: float) -> list[float]:
     """Lower bounds by worth: a class worth more than the mean request is served before the rest share."""
     mean = sum(n * w for n, w in zip(demand, worth, strict=True)) / max(1e-9, sum(demand))
     lower, left = [0.0] * len(demand), 1.0
@@ -105,8 +105,10 @@
     def __init__(self, settings: Settings) -> None:
         self.s, self.now, self.out = settings, 0, list[Action]()
         self.servers, self.proxies = dict[HostId, Server](), dict[ProxyId, Proxy]()
-        longest = settings.channel_backlog / settings.channel_lines_per_s * 1e6
-        self.channel = Channel(int(longest) + settings.transit_longest_us, settings.channel_lines_per_s)
+        rate, grace_us = settings.channel_lines_per_s / 1e6, settings.drain_grace_us
+        self.channel = Channel(int(settings.channel_backlog / rate) + settings.transit_longest_us, rate)
+        bind, full = max(BIND_LEAST_US, BIND_GRACE * grace_us), max(2 * BIND_LEAST_US, FULL_GRACE * grace_us)
+        self.spans = {QUEUE_ORDINARY: rate * PACE_US, QUEUE_BIND: rate * bind, QUEUE_WITHDRAW: rate * full}
         crowded = 0 < settings.connections_least < settings.proxies
         self.part = min(1.0, TABLE_PART * settings.connections_least / settings.proxies) if crowded else 1.0
         self.groups = round(COVER / self.part + 0.5) if crowded else 1
@@ -321,7 +323,7 @@
         total = sum(n * c.aim_us for n, c in zip(self.demand, self.s.classes, strict=True))
         return total / sum(self.demand) if total > 0 else float("inf")
 
-    def _let_in(self, requests: Sequence[float], when: int) -> float:
+    def _let_in(self, requests: Numbers, when: int) -> float:
         """What the levels ordered at a time let in of so many requests."""
         levels = next((lv for at, lv in reversed(self.level_log) if at <= when), self.level_log[0][1])
         return sum(n * lv for n, lv in zip(requests, levels, strict=True))
@@ -499,10 +501,7 @@
 
     def _room(self, part: float) -> float:
         """Rule 5: lines that may still be ordered. Withdrawals (rule 3) and later solutions wait behind."""
-        rate, grace_us = self.s.channel_lines_per_s / 1e6, self.s.drain_grace_us
-        spans = {QUEUE_ORDINARY: PACE_US, QUEUE_BIND: max(BIND_LEAST_US, BIND_GRACE * grace_us),
-                 QUEUE_WITHDRAW: max(2 * BIND_LEAST_US, FULL_GRACE * grace_us)}
-        return min(part * self.s.channel_backlog, rate * spans.get(part, float("inf"))) - self.queued
+        return min(part * self.s.channel_backlog, self.spans.get(part, float("inf"))) - self.queued
 
     def _need(self, table: TableId) -> float:
         """Lines that one more of a table costs: one at each proxy holding it, with a step's first a head."""
@@ -557,7 +556,7 @@
         self.out.append(Withdraw(host, out))
         self.queued += self._loose_lines(self.loose_hosts + 1) - self._loose_lines(self.loose_hosts)
         self.loose_hosts += 1
-        for table in [table for table, lines in self.lines.items() if host in lines]:
+        for table in [t for t, lines in self.lines.items() if host in lines]:
             self._charge(table)
 
     def _send_lines(self) -> bool:
@@ -578,8 +577,7 @@
         waiting = dict[HostId, int]()
         part = 0.0 if self.out_hosts and self.loose else QUEUE_ORDINARY  # bindings go first
         for first, _, _, host, table, weight in sorted(changes):
-            room = self._room(QUEUE_MOST if first == -2 else part)
-            if room < self._need(table) and self.lines[table]:
+            if self._room(QUEUE_MOST if first == -2 else part) < self._need(table) and self.lines[table]:
                 waiting[host] = min(first, waiting.get(host, 0))
                 continue
             self.lines[table][host] = weight
@@ -622,19 +620,19 @@
         for number, proxy in [(number, self.proxies[number]) for number in self.loose]:
             if self.adopting and self.now < proxy.held_us:
                 continue
+            mine = self._tables(number)  # rule 1: a table without lines would take what it holds
             new = {t: 1 + len(self.lines[t]) + len(classes) + len(self.lines[t].keys() & self.out_hosts)
-                   for t, classes in self._tables(number).items()
-                   if t not in proxy.bound and self.lines[t]}  # rule 1: none would take what it holds
+                   for t, classes in mine.items() if t not in proxy.bound and self.lines[t]}
             size = sum(new.values()) + self.s.message_head + 1
             if new and self.queued and (self.dropped or self._room(QUEUE_BIND) < size):
                 break  # rule 3: all that fill the channel must not keep hosts to be withdrawn out of it
             for table in new:
                 proxy.bound.add(table)
                 self.holders[table][number] = None
-                self.out.append(BindProxy(number, table, tuple(self._tables(number)[table])))
+                self.out.append(BindProxy(number, table, tuple(mine[table])))
             if new:
                 cost[number], self.queued = sum(new.values()), self.queued + size
-            if len(proxy.bound) == len(self._tables(number)):
+            if len(proxy.bound) == len(mine):
                 del self.loose[number]
         self._forget_gone()
         return cost
@@ -648,9 +646,10 @@
         for table, count in self.cost.items():
             for number in self.holders[table]:
                 lines[number] += count
-        for number in [*lines, *self.loose] if self.loose_hosts else lines:  # rule 5: messages within a span
+        reached = lines.keys() | self.loose.keys() if self.loose_hosts else lines.keys()
+        for number in reached:  # rule 5: messages within a span
             (times := self.proxies[number].sent).append(self.now)
             if 0 < self.s.messages_most == len(times):
                 self.full_us = max(self.full_us, times[0] + self.s.messages_over_us)
-        sent = {number: count + self.s.message_head + 1 for number, count in lines.items()}
-        self.channel.sent(self.number, self.now, sent, self._loose_lines(self.loose_hosts))
+        cost = {number: count + self.s.message_head + 1 for number, count in lines.items()}
+        self.channel.sent(self.number, self.now, cost, self._loose_lines(self.loose_hosts))
--- a/kelpcourse/facade.py
+++ b/kelpcourse/facade.py
@@ -12,8 +12,8 @@
 from kelpcourse.interface import (
     Action, BindProxy, Checkpoint, ClearTable, DemandReport, Event, FetchList, Host, HostList, HostReport,
     HostState, ListKind, Log, OrdersApplied, OrdersRepeated, ProbeAnswered, ProbeHost, ProbeStatus,
-    ProxyJoined, ProxyLeft,
-    SetLevel, SetLine, SetTimer, Settings, Started, TellPeer, TimerFired, WatchList, Withdraw,
+    ProxyJoined, ProxyLeft, SetLevel, SetLine, SetTimer, Settings, Started, TellPeer, TimerFired, WatchList,
+    Withdraw,
 )
 from kelpcourse.memory.hosts import Hosts, Member, Phase
 from kelpcourse.memory.orders import EmptyTable, Limit, Mark, Order, SetShare, ShutOut, UseTable
--- a/kelpcourse/limits.py
+++ b/kelpcourse/limits.py
@@ -60,7 +60,7 @@
     # Discovery
     list_us: int = 3_000_000  # for the first object of a watch, or a whole list
     watch_silence_us: int = 3_500_000  # an empty line comes every 2 s
-    names: int = 16_384  # hosts whose names are remembered, beside all that are listed
+    names: int = 16_384  # hosts whose names are remembered; those listed are, however many
 
     # Probes
     probe_us: int = 1_000_000
--- a/kelpcourse/memory/outbox.py
+++ b/kelpcourse/memory/outbox.py
@@ -61,10 +61,10 @@
 
     def unsure(self) -> tuple[int, ...]:
         """The call may have been carried out or not: its orders go again, before or with later ones. Returns
-        the stamps of the marks that it had or stood for."""
+        the stamps of the marks that it had or stood for; those of hosts shut out ahead follow in the next call."""
         self._calling = False
-        last = self._batches[0][-1] if self._batches and self._batches[0] else None
-        stamps = (*last.covers, last.stamp) if isinstance(last, Mark) else ()
+        mark = next((o for batch in self._batches for o in batch if isinstance(o, Mark)), None)
+        stamps = (*mark.covers, mark.stamp) if mark is not None else ()
         for proxy in self._left:
             self.forget_proxy(proxy)
         self._left.clear()
--- a/kelpcourse/zones/service.py
+++ b/kelpcourse/zones/service.py
@@ -147,7 +147,7 @@
         assert self.settings.listen is not None
         desk = Desk(self.held, self._by_origin, self.settings.keys, around.limits, around.counters, around.log, self)
         self.server = Server(around.loop, around.limits, around.counters, around.log, desk,
-                             pair(self.settings.listen, self._around.limits.listen_queue))
+                             pair(self.settings.listen, around.limits.listen_queue))
         around.keep("dns udp", self.server.run_udp)
         around.keep("dns tcp", self.server.run_tcp)
         around.log.always("dns_ready", listen=shown(self.server.address))
--- a/tests/test_channel.py
+++ b/tests/test_channel.py
@@ -8,13 +8,19 @@
 from kelpcourse.interface import BindProxy, Checkpoint, HostState, OrdersApplied, ProxyJoined, ProxyLeft, Withdraw
 from tests.fleet import SECOND, SETTINGS, Day, changes, host, hosts, only
 
-LONGEST = 10 * SECOND
+LONGEST, PACE = 10 * SECOND, 100 / SECOND
+
+
+def booked(*steps: dict[int, float]) -> Channel:
+    """Steps 1, 2 and so on, ordered at time 0, each with its lines by proxy."""
+    channel = Channel(LONGEST, PACE)
+    for number, lines in enumerate(steps, 1):
+        channel.sent(number, 0, lines)
+    return channel
 
 
 def test_what_is_answered_waits_no_more() -> None:
-    channel = Channel(LONGEST, 100.0)
-    channel.sent(1, 0, {1: 10.0, 2: 20.0})
-    channel.sent(2, 0, {1: 5.0})
+    channel = booked({1: 10.0, 2: 20.0}, {1: 5.0})
     assert channel.waiting(0) == 35
     channel.applied(1, 1)
     assert channel.waiting(0) == 25
@@ -26,10 +32,7 @@
 def test_what_was_ordered_behind_a_message_that_waits_is_taken_to_wait_too() -> None:
     """Four in five streams broke; what was ordered for those that came back was answered in 1.2 s, long before
     older messages to the rest, and the channel held all of it until those were through: 38,944 of 38,800."""
-    channel = Channel(LONGEST, 100.0)
-    channel.sent(1, 0, {1: 10.0})
-    channel.sent(2, 0, {2: 20.0})
-    channel.sent(3, 0, {3: 40.0})
+    channel = booked({1: 10.0}, {2: 20.0}, {3: 40.0})
     channel.applied(3, 3)
     assert channel.waiting(SECOND) == 70
     channel.applied(1, 1)
@@ -39,17 +42,14 @@
 
 
 def test_an_answer_that_never_comes_holds_nothing_up_for_good() -> None:
-    channel = Channel(LONGEST, 100.0)
-    channel.sent(1, 0, {1: 10.0})
-    channel.sent(2, 0, {2: 20.0})
+    channel = booked({1: 10.0}, {2: 20.0})
     channel.applied(2, 2)
     assert channel.waiting(LONGEST - 1) == 30
     assert channel.waiting(LONGEST) == 10
 
 
 def test_what_waited_for_a_stream_that_broke_is_gone_with_it() -> None:
-    channel = Channel(LONGEST, 100.0)
-    channel.sent(1, 0, {1: 10.0, 2: 20.0})
+    channel = booked({1: 10.0, 2: 20.0})
     channel.left(2)
     assert channel.waiting(0) == 10
     channel.applied(1, 1)
@@ -58,8 +58,7 @@
 
 def test_a_message_to_a_broken_stream_keeps_its_turn() -> None:
     """The channel counted 40,812 lines of 38,800: its last place before the break was one of these."""
-    channel = Channel(LONGEST, 100.0)
-    channel.sent(1, 0, {1: 10.0, 2: 20.0})
+    channel = booked({1: 10.0, 2: 20.0})
     channel.left(2)
     channel.sent(2, 0, {3: 40.0})
     channel.applied(1, 1)
@@ -69,8 +68,7 @@
 
 
 def test_what_waits_for_one_that_joined_again_unseen_counts_until_it_must_be_through() -> None:
-    channel = Channel(LONGEST, 100.0)
-    channel.sent(1, 0, {1: 10.0})
+    channel = booked({1: 10.0})
     channel.joined(1, 5)
     channel.applied(1, 1)
     assert channel.waiting(LONGEST) == 10
@@ -78,8 +76,7 @@
 
 
 def test_answers_to_numbers_never_sent_or_told_twice_change_nothing() -> None:
-    channel = Channel(LONGEST, 100.0)
-    channel.sent(1, 0, {1: 10.0})
+    channel = booked({1: 10.0})
     channel.applied(1, 7)
     channel.applied(9, 1)
     assert channel.waiting(0) == 10
@@ -89,9 +86,7 @@
 
 
 def test_orders_that_may_have_gone_out_twice_count_twice() -> None:
-    channel = Channel(LONGEST, 100.0)
-    channel.sent(1, 0, {1: 10.0})
-    channel.sent(2, 0, {2: 20.0})
+    channel = booked({1: 10.0}, {2: 20.0})
     channel.repeated(2, SECOND)
     channel.repeated(9, SECOND)
     assert channel.waiting(SECOND) == 50
@@ -160,7 +155,7 @@
 
 def test_answers_that_are_late_do_not_slow_the_books() -> None:
     """What was through but not answered yet was counted into the turn of all that followed."""
-    channel = Channel(LONGEST, 100.0)
+    channel = Channel(LONGEST, PACE)
     for number in range(10):
         channel.sent(number, number * SECOND, {1: 30.0}, 30.0)
         if number > 1:
--- a/tests/test_connections.py
+++ b/tests/test_connections.py
@@ -8,7 +8,7 @@
 import pytest
 
 from kelpcourse.interface import (
-    BindProxy, Checkpoint, Host, HostState, ProxyJoined, ProxyLeft, SetLine, Withdraw,
+    BindProxy, Host, HostState, ProxyJoined, ProxyLeft, SetLine, Withdraw,
 )
 from tests.fleet import SECOND, SETTINGS, Day, changes, host
 
@@ -93,15 +93,20 @@
 def test_a_withdrawal_costs_lines_where_the_host_is_held() -> None:
     """Counted at every proxy, it kept hosts that leave waiting for room that there was."""
     day = joined(60, 60)
-    brought = held(day)[103]
     day.answers = False
     waits = day.director.channel.waiting(day.now)
+    holders = dict.fromkeys(day.tables, 0)
+    for number, p in day.director.proxies.items():
+        for table in day.director.tables[p.zone][number % day.director.groups]:
+            holders[table] += 1
+    lines = {table: int(103 in at) for table, at in day.tables.items()}
     out = day.send(changes([host(103, "east", HostState.GONE)]))
     assert Withdraw(103, True) in out
-    assert Checkpoint(day.director.number, False) in out  # who does not hold it gets no message
-    lines = len([a for a in out if isinstance(a, SetLine)])
-    assert day.director.channel.waiting(day.now) - waits <= (8 + lines) * 120
-    assert brought < 120
+    for line in (a for a in out if isinstance(a, SetLine)):
+        lines[line.table] += 1
+    cost = sum(holders[table] * (count + 7) for table, count in lines.items() if count)
+    assert 0 < cost < 120 * 8
+    assert day.director.channel.waiting(day.now) - waits == cost
 
 
 @pytest.mark.parametrize("least", [0.0, 120.0, 500.0])
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-from dataclasses import fields
-
 import pytest
 
 from kelpcourse.limits import Limits
@@ -15,7 +13,6 @@
 
 @pytest.mark.parametrize("name", LISTS)
 def test_no_list_of_hosts_proxies_or_directors_is_capped_below_a_thousand(name: str) -> None:
-    assert name in {field.name for field in fields(Limits)}
     assert getattr(Limits(), name) >= 1_024
 
 
--- a/tests/test_outbox.py
+++ b/tests/test_outbox.py
@@ -73,6 +73,15 @@
     assert outbox.unsure() == (1, 2, 3)
 
 
+def test_hosts_shut_out_ahead_of_their_mark_count_with_it() -> None:
+    """They are the largest calls, and after a merge they go in one without a mark of its own."""
+    outbox = Outbox(100, 8)
+    outbox.add([ShutOut("a", True), Mark(1, False)])
+    outbox.add([SetShare(0, "b", 1.0), Mark(2, False)])
+    assert outbox.begin() == [ShutOut("a", True)]
+    assert outbox.unsure() == (1, 2)
+
+
 def test_bindings_of_a_proxy_that_left_during_a_call_are_not_sent_again() -> None:
     outbox = Outbox(100, 8)
     outbox.add([SetShare(0, "a", 1.0), UseTable(1, 0, ())])
