Keep drains of members in the ledger, so that every later leader knows them

The drain was a field of the one leader that had been told, so the same fleet gave groups to a drained member or not, by who led. It is a fact of the log now, shown by status, and goes when its member is removed; any controller that leads may take it back.

The test of processes says what must hold under either leader, and one on the virtual clock checks four seeds.

--- a/kelpcourse/shared/controller.py
+++ b/kelpcourse/shared/controller.py
@@ -13,7 +13,7 @@
 
 from kelpcourse.shared.leases import Ask, Holder, Keeper, Renewed, Terms
 from kelpcourse.shared.ledger import (
-    Began, Carried, Cleared, Fact, Granted, Ledger, Released, Withdrew, decode, encode, restored,
+    Began, Carried, Cleared, Drained, Fact, Granted, Ledger, Released, Withdrew, decode, encode, restored,
 )
 from kelpcourse.shared.messages import Config, Entry, Kind, Member, Message, Snapshot, Stored, Write
 from kelpcourse.shared.placement import Group
@@ -88,7 +88,6 @@
         self.holder = make_holder(me, shape.terms)
         self.holder.ledger_changed(self.ledger)
         self.keeper: Keeper | None = None
-        self.drains: frozenset[Member] = frozenset()
         self.on_applied: Callable[[Entry, bool], None] = lambda entry, fits: None
         self._make_keeper = make_keeper
         self._kept_term = 0
@@ -272,7 +271,9 @@
             self.keeper = self._make_keeper(self.shape.terms, self.ledger, now_us)
         if len(self.ledger.leases) != self.shape.groups:
             self._propose(now_us, Began(self.shape.groups))
-        for fact in self.keeper.step(now_us, sorted(raft.config.voters), self.drains):
+        for gone in sorted(self.ledger.drained - raft.config.all):
+            self._propose(now_us, Drained(gone, False))
+        for fact in self.keeper.step(now_us, sorted(raft.config.voters), self.ledger.drained):
             self._propose(now_us, fact)
 
     def _ask(self, now_us: int) -> None:
@@ -293,6 +294,8 @@
             return type(fact).__name__, group
         case Began():
             return ("began",)
+        case Drained(member, _):
+            return "drained", member
 
 
 def stands(fact: Fact, ledger: Ledger) -> bool:
@@ -315,3 +318,5 @@
             return lease is None or lease.epoch >= epoch
         case Began(groups):
             return len(ledger.leases) == groups
+        case Drained(member, drains):
+            return (member in ledger.drained) == drains
--- a/kelpcourse/shared/leases.py
+++ b/kelpcourse/shared/leases.py
@@ -8,7 +8,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterable, Mapping, Set
 from dataclasses import dataclass
 
 from kelpcourse.shared.ledger import Fact, Granted, Ledger
@@ -146,7 +146,7 @@
         """A member counts as there while it asks."""
         return {m for m in members if now_us - self._heard_us.get(m, -1 << 62) < self._terms.silent_us}
 
-    def step(self, now_us: int, members: Iterable[Member], drains: frozenset[Member] = frozenset()) -> list[Fact]:
+    def step(self, now_us: int, members: Iterable[Member], drains: Set[Member] = frozenset()) -> list[Fact]:
         """Grants to be proposed. `drains`: members that are to hold nothing."""
         able = self.alive(members, now_us) - drains
         if not able or now_us - self._began_us < 2 * self._terms.renew_us:  # whoever is there has asked by then
--- a/kelpcourse/shared/ledger.py
+++ b/kelpcourse/shared/ledger.py
@@ -60,7 +60,14 @@
     groups: int
 
 
-Fact = Granted | Released | Withdrew | Cleared | Carried | Began
+class Drained(msgspec.Struct, tag="drained", array_like=True, frozen=True):
+    """An operator wants a member to hold nothing, or takes that back. In the log, as every later leader must know."""
+
+    member: Member
+    drains: bool
+
+
+Fact = Granted | Released | Withdrew | Cleared | Carried | Began | Drained
 _encoder = msgspec.msgpack.Encoder()
 _decoder = msgspec.msgpack.Decoder(Fact)
 
@@ -92,6 +99,7 @@
 class Ledger:
     leases: dict[Group, Lease] = field(default_factory=dict)
     withdrawn: dict[str, Withdrawal] = field(default_factory=dict)
+    drained: set[Member] = field(default_factory=set)  # to hold no group
 
     def take(self, fact: Fact) -> bool:
         """False: it does not fit what stands, and changes nothing."""
@@ -123,6 +131,10 @@
                 self.withdrawn[host] = Withdrawal(since_ms, sorted(self.leases))
             case Cleared(host, group, since_ms):
                 return self._clear(host, group, since_ms)
+            case Drained(member, drains):
+                if (member in self.drained) == drains:
+                    return False
+                self.drained ^= {member}
         return True
 
     def _begin(self, groups: int) -> None:
@@ -154,14 +166,14 @@
         return {host: w.since_ms for host, w in sorted(self.withdrawn.items()) if group in w.open}
 
     def snapshot(self) -> bytes:
-        return msgspec.msgpack.encode((self.leases, self.withdrawn))
+        return msgspec.msgpack.encode((self.leases, self.withdrawn, sorted(self.drained)))
 
 
 def restored(data: bytes) -> Ledger:
     if not data:
         return Ledger()
-    leases, withdrawn = msgspec.msgpack.decode(data, type=tuple[dict[Group, Lease], dict[str, Withdrawal]])
-    return Ledger(leases, withdrawn)
+    kind = tuple[dict[Group, Lease], dict[str, Withdrawal], set[Member]]
+    return Ledger(*msgspec.msgpack.decode(data, type=kind))
 
 
 def late(to_finish: Mapping[str, int], grace_ms: int, transit_ms: int, now_ms: int) -> list[str]:
--- a/kelpcourse/shared/member.py
+++ b/kelpcourse/shared/member.py
@@ -11,7 +11,7 @@
 from kelpcourse.memory.counters import Counters
 from kelpcourse.shared.controller import Controller, Event, Gained, Led, Lost, PeerMessage, Shape
 from kelpcourse.shared.disk import Disk
-from kelpcourse.shared.ledger import Fact
+from kelpcourse.shared.ledger import Drained, Fact
 from kelpcourse.shared.messages import Config, Member
 from kelpcourse.shared.peers import Peers, Tls, name_of
 from kelpcourse.shared.raft import Refused, Role
@@ -143,12 +143,13 @@
         return f"leadership goes to {to}"
 
     def drain(self, name: str, drains: bool = True) -> str:
-        """Known to this leader alone: another one has to be told again. Raises Refused."""
+        """Goes through the log, so that whoever leads later knows it too. Raises Refused."""
         controller = self._leading()
         named = {m for m in controller.raft.config.all if name in (m, name_of(m))}
         if not named:
             raise Refused(f"{name} is no member")
-        controller.drains = controller.drains | named if drains else controller.drains - named
+        for member in sorted(named):
+            self.learn(Drained(member, drains))
         return f"{', '.join(sorted(named))} {'holds nothing any more' if drains else 'may hold groups again'}"
 
     def _leading(self) -> Controller:
@@ -198,4 +199,4 @@
         return {"member": self.me, "role": raft.role.value, "leader": raft.leader, "term": raft.term,
                 "committed": raft.commit, "voters": sorted(raft.config.voters),
                 "learners": sorted(raft.config.learners), "lags": lags, "groups": groups,
-                "withdrawn": sorted(controller.ledger.withdrawn)}
+                "withdrawn": sorted(controller.ledger.withdrawn), "drained": sorted(controller.ledger.drained)}
--- a/kelpcourse/shared/standalone.py
+++ b/kelpcourse/shared/standalone.py
@@ -115,4 +115,5 @@
     for group in told["groups"]:
         left = f" lease left {group['left_ms']} ms" if group["left_ms"] is not None else ""
         lines.append(f"group {group['group']:>4} epoch {group['epoch']:>4} {group['holder'] or '-'}{left}")
+    lines += [f"drained {member}" for member in told["drained"]]
     return lines + [f"withdrawn {host}" for host in told["withdrawn"]]
--- a/tests/test_shared_leases.py
+++ b/tests/test_shared_leases.py
@@ -15,7 +15,7 @@
 from kelpcourse.shared.controller import Controller, Gained, PeerMessage, Shape
 from kelpcourse.shared.leases import Ask, Fence, Holder, Keeper, Renewed, Terms
 from kelpcourse.shared.ledger import Ledger, restored
-from kelpcourse.shared.messages import Entry, Member
+from kelpcourse.shared.messages import Config, Entry, Member
 from kelpcourse.shared.placement import jump, least_of, most_of, moved, place, ring
 from tests.raftworld import MS, TIMING, Broken, Node, World
 
@@ -69,11 +69,15 @@
                        (facts.Granted(0, "b", 1), False), (facts.Granted(9, "b", 1), False),
                        (facts.Carried(0, 1, (0.5,), 9.0), True), (facts.Granted(0, "b", 2), True),
                        (facts.Carried(0, 1, (0.1,), 1.0), False), (facts.Released(0, 1), False),
-                       (facts.Released(0, 2), True), (facts.Released(0, 2), False)):
+                       (facts.Released(0, 2), True), (facts.Released(0, 2), False),
+                       (facts.Drained("a", False), False), (facts.Drained("a", True), True),
+                       (facts.Drained("a", True), False), (facts.Drained("b", True), True),
+                       (facts.Drained("a", False), True)):
         before = book.snapshot()
         assert book.take(facts.decode(facts.encode(fact))) is fits, fact
         assert (book.snapshot() == before) is not fits
     assert book.leases[0] == facts.Lease("", 2, (0.5,), 9.0)
+    assert book.drained == {"b"}
     assert restored(book.snapshot()) == book
     assert restored(b"") == Ledger()
     with pytest.raises(msgspec.DecodeError):
@@ -319,6 +323,39 @@
         assert any(c.raft.log.snapshot.index for c in fleet.controllers.values())
 
 
+def test_a_drain_stands_under_every_later_leader_and_goes_with_its_member() -> None:
+    """It was known to the leader alone that had been told: the next one gave the drained member groups again, and so
+    did the one after, or not, by who led when."""
+    removed = 0
+    for seed in range(4):
+        fleet = Fleet(seed, 3)
+        fleet.until(lambda fleet=fleet: fleet.handled == GROUPS)  # type: ignore[misc]
+        first = fleet.leader
+        assert first is not None
+        drained = next(n for n in fleet.nodes.values() if n is not first)
+        fleet.controllers[first.name].learn(fleet.clock(first), facts.Drained(drained.name, True))
+        fleet.take(first)
+
+        def empty(fleet: Fleet = fleet, drained: Node = drained) -> bool:
+            return fleet.handled == GROUPS and not fleet.controllers[drained.name].holder.holds(fleet.clock(drained))
+        fleet.until(empty, 5000 * MS)
+        fleet.crash(first)
+        fleet.until(lambda fleet=fleet, first=first: fleet.leader not in (None, first))  # type: ignore[misc]
+        fleet.run(1000 * MS)
+        assert empty()
+        fleet.start(first)
+        fleet.run(1000 * MS)
+        leader = fleet.leader
+        if leader is None or leader is drained:
+            continue  # who leads can't be removed here
+        made = fleet.controllers[leader.name]
+        made.change(fleet.clock(leader), Config(frozenset(fleet.nodes) - {drained.name}))
+        fleet.take(leader)
+        fleet.until(lambda made=made: not made.ledger.drained, 5000 * MS)  # type: ignore[misc]
+        removed += 1
+    assert removed
+
+
 def test_a_successor_is_told_what_to_shut_out_first_and_what_was_learned() -> None:
     fleet = Fleet(2, 3)
     fleet.until(lambda: fleet.handled == GROUPS)
--- a/tests/test_shared_members.py
+++ b/tests/test_shared_members.py
@@ -355,6 +355,8 @@
     processes.until(lambda: processes.status("n1").get("role") == "leader")
     processes.running.pop("n1").kill()
     processes.until(lambda: any(processes.status(n).get("role") == "leader" for n in ("n0", "n2")))
+    processes.until(lambda: processes.holders("n0") == {"n0"})  # whoever leads: the drain is in the log
+    processes.until(lambda: any(processes.say(n, "undrain", "n2").exit_code == 0 for n in ("n0", "n2")))
     processes.until(lambda: processes.holders("n0") == {"n0", "n2"})
     processes.start("n1")
     processes.until(lambda: processes.holders("n0") == {"n0", "n1", "n2"})
