Count messages as the relay takes them; tell late joiners of withdrawals or bind them first

The module counted from its steps; a large step is longer under way. The relay's answer now comes back as OrdersTaken and times run from it, repeats of a call count, and lines to tables in use stop at 700 a step, as what is over 60,000 bytes is a message more.

Three causes: who joins after a withdrawal was not told of it; bindings waited for two hosts that did not fit beside 28 others; lines to proxies not bound yet were held whole until the last was through (books at 30,138 lines fell by 1,100 a second where the channel sends 3,400). Now few late joiners are bound ahead, many are told again with the next withdrawal or after a quarter of the grace; withdrawals go all or wait; such lines leave the books as answers to the same step or the pace tell; bindings leave a full channel's time in the grace.

Ruled out: broken calls (none at these directors), processor time (0.3 s in the busiest second).

--- a/kelpcourse/decide.py
+++ b/kelpcourse/decide.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from bisect import bisect_left
 from collections import Counter, deque
 from collections.abc import Sequence
 from dataclasses import dataclass, field
@@ -9,8 +10,8 @@
 from kelpcourse.channel import Channel
 from kelpcourse.interface import (
     Action, Admission, BindProxy, Checkpoint, DemandReport, Event, Host, HostId, HostList, HostReport,
-    HostState, ListKind, Log, OrdersApplied, OrdersRepeated, ProxyId, ProxyJoined, ProxyLeft, Retry,
-    SetLevel, SetLine, SetTimer, Settings, Started, TableId, TimerFired, WatchList, Withdraw,
+    HostState, ListKind, Log, OrdersApplied, OrdersRepeated, OrdersTaken, ProxyId, ProxyJoined, ProxyLeft,
+    Retry, SetLevel, SetLine, SetTimer, Settings, Started, TableId, TimerFired, WatchList, Withdraw,
 )
 
 TICK_US, PACE_US = 1_000_000, 2_000_000  # demand is read and solved (the design's); ordinary lines go out
@@ -26,7 +27,7 @@
 LOAD_DOUBT, UTIL_LEAST, COLD_MOST, RATE_ALL = 0.4, 0.1, 2.0, 1e6  # report at odds, noise; of V; no limit
 DISTINCT_US, LEFT_LEAST, LINE_STEP = 5_000_000, 0.1, 0.08  # repeats learned in; beside own classes; no line
 HOLD_US, ADOPT_TRIES, MASS = 6_000_000, 12.0, 15  # tables of before: kept, told by tries a host, if many join
-FORGET_US, ASK_FIRST_US = 30_000_000, 500_000  # a host is gone for good; first wait before asking again
+FORGET_US, ASK_FIRST_US, ORDERS_MOST = 30_000_000, 500_000, 700  # gone for good; asking; in 60,000 bytes
 QUEUE_ORDINARY, QUEUE_BIND, QUEUE_WITHDRAW, QUEUE_MOST = 0.5, 0.6, 0.9, 0.95  # of the channel, up to all
 BIND_GRACE, FULL_GRACE, BIND_LEAST_US = 0.25, 0.5, 1_000_000  # of a drain's grace: bindings, all; at least
 MESSAGES_ORDINARY, TABLE_PART, TABLE_LEAST, COVER = 0.6, 0.5, 12.0, 2.0  # messages; connections; lines; of
@@ -52,8 +53,7 @@
     load: dict[str, float] = field(default_factory=dict)
 
     def take(self, now_us: int, report: HostReport) -> None:
-        """What was heard before fades by report, not by the clock: on a large fleet reports come by turns."""
-        kept = FADE ** min(1.0, (now_us - self.heard_us) / max(1, report.span_us))
+        kept = FADE ** min(1.0, (now_us - self.heard_us) / max(1, report.span_us))  # they come by turns
         good = report.tries - report.failed
         self.tries = self.tries * kept + report.tries
         self.failed = self.failed * kept + report.failed
@@ -65,11 +65,8 @@
 
 @dataclass
 class Proxy:
-    zone: str
-    usual_rate: float
-    held_us: int = 0  # until when it serves by a table of before
+    held_us: int  # until when it serves by a table of before
     bound: set[TableId] = field(default_factory=set)
-    sent: deque[int] = field(default_factory=deque)
 
 
 def fill(demand: Numbers, volume: float, lower: Numbers, upper: Numbers) -> list[float]:
@@ -81,10 +78,8 @@
     def at(theta: float) -> list[float]:
         return [min(n, up * volume, max(low, theta * n))
                 for n, low, up in zip(demand, floors, upper, strict=True)]
-    if sum(at(1.0)) <= volume:
-        return at(1.0)
-    low, high = 0.0, 1.0
-    for _ in range(30):
+    low, high = 0.0, 2.0  # where all fits, all of it is taken
+    for _ in range(31):
         middle = (low + high) / 2
         low, high = (middle, high) if sum(at(middle)) <= volume else (low, middle)
     return at(low)
@@ -106,8 +101,10 @@
         self.s, self.now, self.out = settings, 0, list[Action]()
         self.servers, self.proxies = dict[HostId, Server](), dict[ProxyId, Proxy]()
         rate, grace_us = settings.channel_lines_per_s / 1e6, settings.drain_grace_us
-        self.channel = Channel(int(settings.channel_backlog / rate) + settings.transit_longest_us, rate)
-        bind, full = max(BIND_LEAST_US, BIND_GRACE * grace_us), max(2 * BIND_LEAST_US, FULL_GRACE * grace_us)
+        longest_us = int(settings.channel_backlog / rate) + settings.transit_longest_us
+        self.channel = Channel(longest_us, rate, settings.messages_most, settings.messages_over_us)
+        bind = max(BIND_LEAST_US, min(BIND_GRACE * grace_us, grace_us - longest_us))
+        full = max(2 * BIND_LEAST_US, FULL_GRACE * grace_us)
         self.spans = {QUEUE_ORDINARY: rate * PACE_US, QUEUE_BIND: rate * bind, QUEUE_WITHDRAW: rate * full}
         crowded = 0 < settings.connections_least < settings.proxies
         self.part = min(1.0, TABLE_PART * settings.connections_least / settings.proxies) if crowded else 1.0
@@ -118,7 +115,7 @@
         self.lines: dict[TableId, dict[HostId, float]] = {t: {} for ts in self.keys.values() for t in ts}
         self.out_hosts, self.dropped = dict[HostId, int](), dict[HostId, None]()  # withdrawn; to be
         self.holders: dict[TableId, dict[ProxyId, None]] = {table: {} for table in self.lines}
-        self.loose = dict[ProxyId, None]()  # not bound to all their tables: they may hold any host
+        self.loose = dict[ProxyId, int]()  # not bound to all their tables, since when: they may hold any host
         self.seen = dict[ProxyId, tuple[str, float]]()  # zone and usual rate of all that ever joined
         self.levels, self.volume = [1.0] * len(settings.classes), 0.0  # V: best good rate heard lately
         self.heard: dict[HostId, list[float]] = {}  # good answers and their time since last judged
@@ -127,7 +124,7 @@
         self.spans_us, self.cover_us = list[int](), settings.report_period_us  # a line's time
         self.level_log: deque[tuple[int, list[float]]] = deque([(0, list(self.levels))], maxlen=20)
         self.judged_us = self.lines_us = self.lag_us = self.listen_us = self.ask_due_us = self.number = 0
-        self.ask_wait_us, self.distinct, self.full_us = ASK_FIRST_US, 1.0, 0  # part drawn for; rule 5
+        self.ask_wait_us, self.distinct = ASK_FIRST_US, 1.0  # part drawn for
         self.shedding = self.watching = self.urgent = False  # urgent until the next orders are out
         self.adopting, self.joins = True, deque[int](maxlen=max(2, settings.proxies // MASS))
 
@@ -154,18 +151,18 @@
             case ProxyJoined(proxy, zone, rate, fresh):
                 self.joins.append(self.now)
                 mass = len(self.joins) == self.joins.maxlen and self.now - self.joins[0] <= TICK_US
-                was = self.proxies.get(proxy) or Proxy(zone, rate, sent=deque(maxlen=self.s.messages_most))
-                self._let_go(proxy, was)
+                self._let_go(proxy)
                 self.channel.joined(proxy, self.now)
-                held_us = (self.now + HOLD_US) * (mass and not fresh)
-                self.proxies[proxy] = Proxy(zone, rate, held_us, sent=was.sent)
-                self.loose[proxy], self.seen[proxy] = None, (zone, rate)
+                self.proxies[proxy] = Proxy((self.now + HOLD_US) * (mass and not fresh))
+                self.loose[proxy], self.seen[proxy] = self.now, (zone, rate)
             case ProxyLeft(proxy) if proxy in self.proxies:  # what it holds is not reported here any more
                 self.backlog *= 1 - 1 / len(self.proxies)
-                self._let_go(proxy, self.proxies.pop(proxy))
+                self._let_go(proxy)
                 self.channel.left(proxy)
             case OrdersApplied(proxy, number, _):
                 self.channel.applied(proxy, number)
+            case OrdersTaken(number):
+                self.channel.taken(number, self.now)
             case OrdersRepeated(number):
                 self.channel.repeated(number, self.now)
             case HostReport():
@@ -174,9 +171,9 @@
                 self.arrived[cls] += arrived
                 self.unanswered += unanswered
 
-    def _let_go(self, number: ProxyId, proxy: Proxy) -> None:
+    def _let_go(self, number: ProxyId) -> None:
         self.loose.pop(number, None)
-        for table in proxy.bound:
+        for table in self.proxies.pop(number).bound if number in self.proxies else ():
             del self.holders[table][number]
 
     def _take_list(self, event: HostList) -> None:
@@ -205,7 +202,7 @@
             self.dropped.pop(host.id, None)
             cold = self._warmth(self.servers[host.id]) < 1
             self.adopting &= not cold  # rule 4: and a cold one at its full weight
-            self.urgent |= cold and any(host.id in lines for lines in self.lines.values())
+            self.urgent = self.urgent or (cold and any(host.id in t for t in self.lines.values()))
         else:
             known.host = host
 
@@ -225,8 +222,7 @@
     # Judging hosts and load
 
     def _judge(self) -> None:
-        """Rates come from all counts told in a time, over what a line covers: where more is told than comes
-        through they come by turns, each line with all since its last, so no count is lost or told twice."""
+        """Rates are all counts told in a time over what a line covers: on large fleets they come by turns."""
         self.cover_us = max(1, sum(self.spans_us) // len(self.spans_us))
         gap_us, self.judged_us = self.now - self.judged_us, self.now
         if gap_us > GAP * self.cover_us:  # as at the start, what came before tells of another time
@@ -246,8 +242,7 @@
         self._judge_load(failures, span)
 
     def _count_let_in(self, ended: float, span: float) -> None:
-        """Repeats of a refused request may be refused undrawn: while times are sound, what ends shows how
-        many, and n_i leaves them out. Catches levels applied late too; hurts where work is held for long."""
+        """Repeats refused undrawn are not in n_i: while times are sound, what ends shows how many come."""
         let_in = self._let_in(self.arrived, self.now - self.lag_us) * self.distinct
         refused = sum(self.arrived) * self.distinct - let_in
         if sound := self.mean_us < BUSY_AIM * self._mean_aim():  # what built up before would show in times
@@ -258,8 +253,7 @@
             self.distinct = min(1.0, max(CUT_LEAST, self.distinct * (ended / let_in) ** part))
 
     def _judge_hosts(self) -> float:
-        """Errors held to few hosts are theirs; spread over the fleet they are overload and blame no host.
-        Returns the share failed at hosts not held sick."""
+        """Errors of few hosts are theirs, spread ones overload. The share failed at hosts not held sick."""
         mute = self._cut_path()
         judged = [v for h, v in self.servers.items() if h not in mute]
         total, failed = sum(v.tries for v in judged), sum(v.failed for v in judged)
@@ -281,8 +275,7 @@
         return sum(v.failed for v in sound) / max(1.0, sum(v.tries for v in sound))
 
     def _cut_path(self) -> set[HostId]:
-        """Many hosts that answer nothing while the rest does lie behind a cut path: they are no measure for
-        each other or for V. Covers any cut through a fleet; harms if so many hang in turn."""
+        """Many hosts that answer nothing while the rest does lie behind a cut path: no measure for others."""
         mute = [v for v in self.servers.values() if v.failed >= SICK_LEAST and v.host.id in self.heard
                 and not self.heard[v.host.id][0]]
         if not MUTE[0] <= len(mute) / max(1, len(self.servers)) <= MUTE[1]:
@@ -293,8 +286,7 @@
         return {v.host.id for v in mute}
 
     def _correct_speeds(self) -> None:
-        """Listed weights say little of speed: let shares follow what hosts show they can do. At a start, by
-        tables of before, tries show what another director had learned: that is taken on."""
+        """Shares follow what hosts show they can do; at a start by tables of before, what another learned."""
         tries = sum(v.tries for v in self.servers.values())
         if self.adopting and tries >= ADOPT_TRIES * len(self.servers):
             self.adopting = False
@@ -365,7 +357,7 @@
     def _follow_fleet(self) -> None:
         """V was heard from other hosts and proxies if some came, went or warmed up since: scale it."""
         fleet = sum(self._able(v) / (v.health if v.unreached else 1) for v in self.servers.values())
-        fleet *= sum(p.usual_rate for p in self.proxies.values())
+        fleet *= sum(self.seen[number][1] for number in self.proxies)
         if fleet > 0 and self.fleet > 0:
             self.volume *= fleet / self.fleet
         self.fleet = fleet
@@ -413,13 +405,12 @@
         return tables
 
     def _tables(self, number: ProxyId) -> dict[TableId, list[int]]:
-        return self.tables.get(self.proxies[number].zone, [{}] * self.groups)[number % self.groups]
+        return self.tables.get(self.seen[number][0], [{}] * self.groups)[number % self.groups]
 
     def _open(self, key: Key) -> list[Server]:
         zones, kinds, bound, _ = key
-        return [v for v in self.servers.values()
-                if (not zones or v.host.zone in zones) and (not kinds or v.host.kind in kinds)
-                and (not bound or v.host.zone == bound)]
+        return [v for v in self.servers.values() if (not zones or v.host.zone in zones) and
+                (not kinds or v.host.kind in kinds) and (not bound or v.host.zone == bound)]
 
     def _warmth(self, server: Server) -> float:
         """Least share of its capacity that a host started lately can have by now."""
@@ -443,8 +434,7 @@
         return {h: max(w * pull.get(self.servers[h].host.zone, 1.0), 0.001) for h, w in weights.items()}
 
     def _split(self, key: Key) -> list[dict[HostId, float]]:
-        """Each group's table. Where hosts accept fewer connections than proxies would bring, it is a run of
-        each zone's ring, fitted so that every host's total stays that of one table."""
+        """Each group's table: all, or a run of each zone's ring, fitted to keep every host's total."""
         weights = self._weights(key)
         if self.groups == 1:
             return [weights]
@@ -454,7 +444,7 @@
             ring = sorted((h * GOLDEN % 1, h) for h in weights if self.servers[h].host.zone == zone)
             count = min(len(ring), round(size * sum(weights[h] for _, h in ring) / total))
             for group, run in enumerate(runs):
-                first = sum(at < group / self.groups for at, _ in ring)
+                first = bisect_left(ring, (group / self.groups, 0))
                 run += [ring[(first + k) % len(ring)][1] for k in range(count)]
         come = [1e-9] * self.groups
         for number, (zone, rate) in self.seen.items():
@@ -472,8 +462,7 @@
         return [{h: weights[h] * fit[h] for h in run} for run in runs]
 
     def _beside(self, weights: dict[HostId, float]) -> dict[HostId, float]:
-        """The shared table leaves out what classes with tables of their own bring to some of its hosts, which
-        would fill while the rest idle. Catches any mix of classes; hurts if works differ a lot."""
+        """The shared table leaves out what classes with tables of their own bring to some of its hosts."""
         admitted = [n * lv for n, lv in zip(self.demand, self.levels, strict=True)]
         whole, left = sum(weights.values()) / max(1e-9, sum(admitted)), dict(weights)
         for cls, x in zip(self.s.classes, admitted, strict=True):
@@ -485,8 +474,7 @@
         return {h: max(w, LEFT_LEAST * weights[h]) for h, w in left.items()}
 
     def _pull(self, home: str, weights: dict[HostId, float]) -> dict[str, float]:
-        """With more proxies than a host accepts connections, hosts refuse and slow down: proxies then prefer
-        hosts of their zone as far as no host's total changes. Hurts if usual rates are wrong."""
+        """Where connections are short proxies prefer their zone's hosts, and no host's total changes."""
         come = sum(rate for _, rate in self.seen.values())  # who is joined now is a chance part of the fleet
         comes = {z: sum(rate for zone, rate in self.seen.values() if zone == z) / max(1e-9, come)
                  for z in self.s.zones}
@@ -513,43 +501,53 @@
         self.cost[table] += 1
 
     def _publish(self) -> None:
-        if self.s.slices or self.now < self.full_us:
+        if self.s.slices or not self.channel.few(1.0, self.now):
             return
         self.queued = self.channel.waiting(self.now)
-        self.cost, self.loose_hosts = Counter[TableId](), 0
-        withdrawn = self._withdraw_dropped()
-        # An overload is answered at once, not with the lines' pace: drains restart that again and again.
-        due = self.now - self.lines_us >= PACE_US or any(
+        self.cost, self.loose_hosts = Counter[TableId](), 0  # withdrawn or back
+        late = self._tell_late()
+        self._withdraw_dropped()
+        due = self.now - self.lines_us >= PACE_US or any(  # an overload is answered at once: drains delay it
             self.levels[i] < level - LEVEL_FALL for (_, i), level in self.levels_sent.items())
-        if withdrawn or (self.urgent and self._room(QUEUE_MOST) > 0) or (
-                due and self.proxies and self._room(QUEUE_ORDINARY) > 0 and self._few_messages()):
+        if self.loose_hosts or (self.urgent and self._room(QUEUE_MOST) > 0) or (
+                due and self.proxies and self._room(QUEUE_ORDINARY) > 0
+                and self.channel.few(MESSAGES_ORDINARY, self.now)):
             self._send_levels()
             self.urgent, self.lines_us = self._send_lines(), self.now
         lines = Counter[ProxyId]()  # to who was bound when they were ordered: a binding restates them
         for table, count in self.cost.items():
             lines.update(dict.fromkeys(self.holders[table], count))
-        self._bind_joined(lines)
-        self._checkpoint(lines)
-
-    def _few_messages(self) -> bool:
-        usual, since = int(self.s.messages_most * MESSAGES_ORDINARY) + 1, self.now - self.s.messages_over_us
-        return all(len(p.sent) < usual or p.sent[-usual] <= since for p in self.proxies.values())
-
-    def _withdraw_dropped(self) -> int:
-        """Rule 3: a host that drains or is gone is withdrawn at once. Where that would fill most of a grace,
-        all go together once the channel holds less than they need: heads cost more than hosts."""
-        fresh, bound, cost, room = list[HostId](), 0.0, 0.0, self._room(QUEUE_MOST)
-        heads = dict.fromkeys(self.lines, self.s.message_head + 1)
-        for host in self.dropped:
-            bound += sum(len(self.holders[table]) * (1 + heads.pop(table, 0))
-                         for table, lines in self.lines.items() if host in lines)
-            cost = bound + self._loose_lines(len(fresh) + 1)
-            fresh += [host] if cost <= room else []
-        for host in [] if self.queued > cost > self._room(QUEUE_WITHDRAW) else fresh:
+        self._bind_joined(lines, late)
+        if self.cost or lines or self.loose_hosts:
+            self._checkpoint(lines)
+
+    def _withdraw_dropped(self) -> None:
+        """Rule 3: all at once, as heads cost more than hosts; gathered where that fills most of a grace."""
+        fresh, room = list(self.dropped), self._room(QUEUE_MOST)
+        while (cost := self._withdrawal(fresh)) > room + self.queued:  # more than an empty channel takes
+            fresh = fresh[:len(fresh) // 2]
+        for host in fresh if cost <= room and not self.queued > cost > self._room(QUEUE_WITHDRAW) else []:
             self._order_host(host, True)
             del self.dropped[host]
             self.out_hosts[host] = self.now
-        return self.loose_hosts
+
+    def _tell_late(self) -> dict[ProxyId, int]:
+        """Rule 3: who joined after a host was withdrawn may hold it still and is bound ahead of others. If so
+        many did that telling all anew costs less, that goes with the next withdrawal, or in a while."""
+        gone = [h for h in self.out_hosts if h not in self.servers] if self.loose else []
+        since = min((self.out_hosts[h] for h in gone), default=self.now)
+        late = {number: at for number, at in self.loose.items() if at > since}
+        size = sum(map(len, self.lines.values())) / len(self.lines) + self.s.message_head + 1
+        if len(late) * size <= self._loose_lines(len(gone)):
+            return late
+        if self.dropped or self.now - min(late.values()) >= BIND_GRACE * self.s.drain_grace_us:
+            self.dropped |= dict.fromkeys(gone)
+        return {}
+
+    def _withdrawal(self, hosts: Sequence[HostId]) -> float:
+        held = Counter(table for host in hosts for table, lines in self.lines.items() if host in lines)
+        bound = sum(len(self.holders[t]) * (n + self.s.message_head + 1) for t, n in held.items())
+        return bound + self._loose_lines(len(hosts))
 
     def _loose_lines(self, hosts: int) -> float:
         """What so many hosts cost proxies not bound yet, of which it is not known which hold them."""
@@ -564,8 +562,7 @@
             self._charge(table)
 
     def _send_lines(self) -> bool:
-        """As the channel has room: a cold host's fall (rule 4) in all that is left, then new hosts, then the
-        tables that change most for what a message costs. Tells whether such a fall still waits."""
+        """A cold host's fall (rule 4) in all room left, new hosts, then the most for what messages cost."""
         changes: list[tuple[int, float, float, HostId, TableId, float]] = []
         for key, tables in self.keys.items():
             for table, wanted in zip(tables, self._split(key), strict=True):
@@ -581,53 +578,46 @@
         waiting = dict[HostId, int]()
         part = 0.0 if self.out_hosts and self.loose else QUEUE_ORDINARY  # bindings go first
         for first, _, _, host, table, weight in sorted(changes):
-            if self._room(QUEUE_MOST if first == -2 else part) < self._need(table) and self.lines[table]:
+            room = self._room(QUEUE_MOST if first == -2 else part) if len(self.out) < ORDERS_MOST else 0.0
+            if room < self._need(table) and self.lines[table]:
                 waiting[host] = min(first, waiting.get(host, 0))
                 continue
-            self.lines[table][host] = weight
-            if weight <= 0:
-                del self.lines[table][host]
+            self.lines[table].pop(host, None)
+            self.lines[table] |= {host: weight} if weight > 0 else {}
             self._charge(table, SetLine(table, host, weight))
-        self._let_back(sorted(h for h in self.out_hosts if h in self.servers and h not in waiting))
-        return -2 in waiting.values()
-
-    def _let_back(self, hosts: Sequence[HostId]) -> None:
-        for host in hosts[:max(0, int(self._room(QUEUE_BIND) / max(1, len(self.proxies))))]:
-            del self.out_hosts[host]  # back in once no table holds a weight from before
+        back = [h for h in self.out_hosts if h in self.servers and h not in waiting]  # no old weights
+        if self.cost and not self.loose:  # beside other orders: what is withdrawn must not grow
+            back += [h for h, at in self.out_hosts.items() if self.now - at >= FORGET_US and
+                     h not in self.servers and not any(h in lines for lines in self.lines.values())]
+        for host in sorted(back)[:max(0, int(self._room(QUEUE_BIND) / max(1, len(self.proxies))))]:
+            del self.out_hosts[host]
             self._order_host(host, False)
-
-    def _forget_gone(self) -> None:
-        """Hosts long gone, in no table, are let back beside other orders: what is withdrawn must not grow."""
-        if self.cost and not self.loose:
-            self._let_back(sorted(h for h, at in self.out_hosts.items() if self.now - at >= FORGET_US and
-                                  h not in self.servers and not any(h in t for t in self.lines.values())))
-
-    def _quota(self, at: int) -> float:
-        """A class's level as this site's proxies read it: a share, or a rate at each proxy."""
-        level, n = self.levels[at], self.demand[at] / max(1, len(self.proxies))
-        return level if self.s.admission is not Admission.RATE else level * n if level < 1 else RATE_ALL
+        return -2 in waiting.values()
 
     def _send_levels(self) -> None:
         self.level_log.append((self.now, list(self.levels)))
         for i, level in enumerate(self.levels):
+            rate = level * self.demand[i] / max(1, len(self.proxies)) if level < 1 else RATE_ALL
+            quota = rate if self.s.admission is Admission.RATE else level  # as this site's proxies read it
             for table in {t for groups in self.tables.values() for at in groups for t in at if i in at[t]}:
                 sent = self.levels_sent.get((table, i), -1.0)
                 changed = abs(sent - level) >= LEVEL_STEP or (level >= 1 > sent)
                 if changed and self._room(QUEUE_MOST) >= self._need(table):
                     self.levels_sent[table, i] = level
                     # Rule 2: only a try proven never to have run goes again, whatever the class's effect.
-                    self._charge(table, SetLevel(table, (i,), self._quota(i), Retry.PROVEN_UNRUN))
+                    self._charge(table, SetLevel(table, (i,), quota, Retry.PROVEN_UNRUN))
 
-    def _bind_joined(self, lines: Counter[ProxyId]) -> None:
+    def _bind_joined(self, lines: Counter[ProxyId], late: dict[ProxyId, int]) -> None:
         """Proxies that join are bound as the channel has room, many in waves; that restates withdrawals."""
-        for number, proxy in [(number, self.proxies[number]) for number in self.loose]:
+        for number, proxy in [(number, self.proxies[number]) for number in {**late, **self.loose}]:
             if self.adopting and self.now < proxy.held_us:
                 continue
             mine = self._tables(number)  # rule 1: a table without lines would take what it holds
             new = {t: 1 + len(self.lines[t]) + len(classes) + len(self.lines[t].keys() & self.out_hosts)
                    for t, classes in mine.items() if t not in proxy.bound and self.lines[t]}
             size = sum(new.values()) + self.s.message_head + 1
-            if new and self.queued and (self.dropped or self._room(QUEUE_BIND) < size):
+            room = self._room(QUEUE_MOST if number in late else QUEUE_BIND)
+            if new and self.queued and (room < size or (self.dropped and number not in late)):
                 break  # rule 3: all that fill the channel must not keep hosts to be withdrawn out of it
             for table in new:
                 proxy.bound.add(table)
@@ -637,18 +627,10 @@
                 lines[number], self.queued = lines[number] + sum(new.values()), self.queued + size
             if len(proxy.bound) == len(mine):
                 del self.loose[number]
-        self._forget_gone()
 
     def _checkpoint(self, lines: Counter[ProxyId]) -> None:
-        """Books what each proxy is sent, until it tells that it was applied."""
-        if not (self.cost or lines or self.loose_hosts):
-            return
         self.number = (self.number + 1) % 65536
         self.out.append(Checkpoint(self.number, False))
-        reached = lines.keys() | self.loose.keys() if self.loose_hosts else lines.keys()
-        for number in reached:  # rule 5: messages within a span
-            (times := self.proxies[number].sent).append(self.now)
-            if 0 < self.s.messages_most == len(times):
-                self.full_us = max(self.full_us, times[0] + self.s.messages_over_us)
         cost = {number: count + self.s.message_head + 1 for number, count in lines.items()}
-        self.channel.sent(self.number, self.now, cost, self._loose_lines(self.loose_hosts))
+        reached = self.loose if self.loose_hosts else ()
+        self.channel.sent(self.number, self.now, cost, self._loose_lines(self.loose_hosts), reached)
--- a/kelpcourse/facade.py
+++ b/kelpcourse/facade.py
@@ -11,7 +11,7 @@
 from kelpcourse.decide import Director
 from kelpcourse.interface import (
     Action, BindProxy, Checkpoint, ClearTable, DemandReport, Event, FetchList, Host, HostList, HostReport,
-    HostState, ListKind, Log, OrdersApplied, OrdersRepeated, ProbeAnswered, ProbeHost, ProbeStatus,
+    HostState, ListKind, Log, OrdersApplied, OrdersRepeated, OrdersTaken, ProbeAnswered, ProbeHost, ProbeStatus,
     ProxyJoined, ProxyLeft, SetLevel, SetLine, SetTimer, Settings, Started, TellPeer, TimerFired, WatchList,
     Withdraw,
 )
@@ -88,6 +88,10 @@
             raise Unknown(f"mark {stamp} was never asked for")
         self._events.append(OrdersApplied(self._proxy(proxy), stamp, _us(lag_ms)))
 
+    def report_taken(self, stamp: int) -> None:
+        """The relay took the call that ends in this mark."""
+        self._events.append(OrdersTaken(stamp))
+
     def report_repeated(self, stamp: int) -> None:
         """A call that broke may have been carried out, and its orders go again."""
         self._events.append(OrdersRepeated(stamp))
--- a/kelpcourse/interface.py
+++ b/kelpcourse/interface.py
@@ -177,6 +177,13 @@
     took_us: int
 
 
+@dataclass(frozen=True)
+class OrdersTaken:
+    """The relay has just told that it took a step's orders: they may have waited since the step."""
+
+    number: int
+
+
 @dataclass(frozen=True)
 class OrdersRepeated:
     """The orders of a step may go out twice: whether they were taken the first time is not known."""
@@ -241,7 +248,8 @@
 
 
 Event = (
-    Started | HostList | TimerFired | ProxyJoined | ProxyLeft | OrdersApplied | OrdersRepeated | HostReport
+    Started | HostList | TimerFired | ProxyJoined | ProxyLeft | OrdersApplied | OrdersTaken
+    | OrdersRepeated | HostReport
     | DemandReport | SliceDemand | ProbeAnswered | SliceLeased | SliceLine | PeerMessage
 )
 
--- a/kelpcourse/memory/outbox.py
+++ b/kelpcourse/memory/outbox.py
@@ -51,13 +51,17 @@
         """What an answer to a mark answers: earlier marks merged into it, then itself."""
         return (*self._covered.get(stamp, ()), stamp)
 
-    def taken(self, count: int) -> None:
-        """The call was answered: the first `count` of its orders stand."""
+    def taken(self, count: int) -> list[int]:
+        """The call was answered: the first `count` of its orders stand. The stamps of the steps whose messages were
+        just written; of steps merged into it the last, as hosts shut out ahead went in a message of their own."""
         self._calling = False
-        if self._batches:
-            del self._batches[0][:count]
-            if not self._batches[0]:
-                self._batches.popleft()
+        if not self._batches:
+            return []
+        done, self._batches[0][:count] = self._batches[0][:count], []
+        if not self._batches[0]:
+            self._batches.popleft()
+        mark = done[-1] if done else None
+        return [*mark.covers[-1:], mark.stamp] if isinstance(mark, Mark) else []
 
     def unsure(self) -> tuple[int, ...]:
         """The call may have been carried out or not: its orders go again, before or with later ones. Returns
--- a/kelpcourse/wire/relay.py
+++ b/kelpcourse/wire/relay.py
@@ -220,7 +220,8 @@
             self._parts.facade.report_repeated(stamp)
 
     def _settle(self, taken: int, sent: int) -> None:
-        self._outbox.taken(taken)
+        for stamp in self._outbox.taken(taken):
+            self._parts.facade.report_taken(stamp)
         self._parts.counters.add("relay_orders_taken", taken)
         if taken == sent:
             return
--- a/tests/test_channel.py
+++ b/tests/test_channel.py
@@ -153,6 +153,88 @@
         assert take() <= 4000
 
 
+def test_lines_of_which_no_answer_tells_leave_as_those_beside_them_or_at_the_channels_pace() -> None:
+    """18,000 lines to proxies not bound yet were held until the last was through, 9 s later: for 7 s the next hosts
+    that leave waited for room that there was."""
+    channel = Channel(LONGEST, PACE)
+    channel.sent(1, 0, {1: 50.0, 2: 50.0}, 400.0)  # five seconds' worth
+    assert channel.waiting(4 * SECOND) == 500  # a slow channel: nothing is answered
+    channel.applied(1, 1)
+    assert channel.waiting(4 * SECOND) == 50 + 200
+    channel.applied(2, 1)
+    assert channel.waiting(4 * SECOND) == 80
+    alone = Channel(LONGEST, PACE)
+    alone.sent(1, 0, {}, 400.0)
+    assert [alone.waiting(k * SECOND) for k in (0, 1, 3, 4)] == [400, 300, 100, 0]
+
+
+def test_lines_of_which_no_answer_tells_wait_behind_what_is_not_answered() -> None:
+    channel = booked({1: 10.0})
+    channel.sent(2, 0, {}, 100.0)
+    assert channel.waiting(SECOND) == 110
+
+
+def counted(*at_us: int) -> Channel:
+    """A message to one proxy at each of these times; four may be written in ten seconds."""
+    channel = Channel(LONGEST, PACE, 4, 10 * SECOND)
+    for number, at in enumerate(at_us, 1):
+        channel.sent(number, at, {1: 10.0})
+    return channel
+
+
+def test_a_message_counts_from_when_the_relay_took_it() -> None:
+    """A step of 466 orders was under way for 40 ms and one of 12 for 10: by the steps' times thirteen messages were
+    10 s apart where the last was written 9.99 s after the first."""
+    channel = counted(0, 1, 2, 3)
+    assert not channel.few(1.0, 10 * SECOND - 1)
+    channel.taken(1, 40_000)
+    assert not channel.few(1.0, 10 * SECOND + 39_999)
+    assert channel.few(1.0, 10 * SECOND + 40_000)
+
+
+def test_a_part_of_the_messages_is_kept_for_what_can_not_wait() -> None:
+    channel = counted(0, SECOND)
+    assert channel.few(0.6, SECOND)
+    channel.sent(3, 2 * SECOND, {1: 10.0, 2: 10.0})
+    assert (channel.few(0.6, 2 * SECOND), channel.few(1.0, 2 * SECOND)) == (False, True)
+    assert channel.few(0.6, 10 * SECOND)
+
+
+def test_messages_to_those_that_may_or_may_not_answer_count_as_well() -> None:
+    channel = Channel(LONGEST, PACE, 2, 10 * SECOND)
+    for number in (1, 2):
+        channel.sent(number, 0, {}, 50.0, [7])
+    assert not channel.few(1.0, SECOND)
+
+
+def test_a_call_that_went_twice_is_two_messages() -> None:
+    channel = counted(0, 0, 0)
+    channel.repeated(9, SECOND)
+    assert channel.few(1.0, SECOND)
+    channel.repeated(2, SECOND)
+    assert not channel.few(1.0, SECOND)
+
+
+def test_messages_count_from_a_proxys_joining_where_it_was_heard_to_leave() -> None:
+    unheard = counted(0, 0, 0, 0)
+    unheard.joined(1, SECOND)
+    assert not unheard.few(1.0, SECOND)
+    heard = counted(0, 0, 0, 0)
+    heard.left(1)
+    heard.joined(1, SECOND)
+    assert heard.few(1.0, SECOND)
+    for number in range(5, 9):
+        heard.sent(number, 2 * SECOND, {1: 10.0})
+    assert not heard.few(1.0, 3 * SECOND)
+
+
+def test_any_number_of_messages_may_be_written_where_no_limit_is_set() -> None:
+    channel = Channel(LONGEST, PACE)
+    for number in range(50):
+        channel.sent(number, 0, {1: 10.0})
+    assert channel.few(1.0, 0)
+
+
 def test_answers_that_are_late_do_not_slow_the_books() -> None:
     """What was through but not answered yet was counted into the turn of all that followed."""
     channel = Channel(LONGEST, PACE)
--- a/tests/test_connections.py
+++ b/tests/test_connections.py
@@ -8,7 +8,7 @@
 import pytest
 
 from kelpcourse.interface import (
-    BindProxy, Host, HostState, ProxyJoined, ProxyLeft, SetLine, Withdraw,
+    BindProxy, Checkpoint, Host, HostState, ProxyJoined, ProxyLeft, SetLine, Withdraw,
 )
 from tests.fleet import SECOND, SETTINGS, Day, changes, host
 
@@ -28,7 +28,7 @@
 def shares(day: Day, zone: str) -> dict[int, float]:
     """Of a zone's requests, over the tables that its proxies hold."""
     director, out = day.director, dict.fromkeys((h.id for h in FLEET), 0.0)
-    mine = [number for number, p in director.proxies.items() if p.zone == zone]
+    mine = [number for number in director.proxies if director.seen[number][0] == zone]
     for number in mine:
         lines = day.tables[next(iter(director.tables[zone][number % director.groups]))]
         for h, w in lines.items():
@@ -55,8 +55,8 @@
 def held(day: Day) -> dict[int, int]:
     """Proxies that hold a line of each host: so many connections it may get."""
     director, out = day.director, dict.fromkeys(day.director.servers, 0)
-    for number, p in director.proxies.items():
-        for table in director.tables[p.zone][number % director.groups]:
+    for number in director.proxies:
+        for table in director.tables[director.seen[number][0]][number % director.groups]:
             for h in day.tables[table]:
                 out[h] += 1
     return out
@@ -96,8 +96,8 @@
     day.answers = False
     waits = day.director.channel.waiting(day.now)
     holders = dict.fromkeys(day.tables, 0)
-    for number, p in day.director.proxies.items():
-        for table in day.director.tables[p.zone][number % day.director.groups]:
+    for number in day.director.proxies:
+        for table in day.director.tables[day.director.seen[number][0]][number % day.director.groups]:
             holders[table] += 1
     lines = {table: int(103 in at) for table, at in day.tables.items()}
     out = day.send(changes([host(103, "east", HostState.GONE)]))
@@ -125,6 +125,23 @@
     assert sum(shares(day, "east")[h.id] for h in FLEET[:6]) > 0.98
 
 
+def test_what_tables_in_use_are_changed_by_at_once_fits_one_call() -> None:
+    """1,156 lines went as two calls, and so as two messages to proxies of which one was counted."""
+    large = [host(100 + k, "east" if k % 2 else "west") for k in range(600)]
+    day = joined(60, 60, replace(CROWDED, connections_least=60.0, channel_lines_per_s=1e6, channel_backlog=1e6), large)
+    assert sum(map(len, day.tables.values())) > 1_000
+    before = len(day.log)
+    day.send(changes([replace(h, weight=1.0 + k % 5) for k, h in enumerate(large)]))
+    day.until(day.now + 10 * SECOND)
+    calls, lines = list[int](), 0
+    for _, action in day.log[before:]:
+        lines += isinstance(action, SetLine)
+        if isinstance(action, Checkpoint):
+            calls, lines = [*calls, lines], 0
+    assert sum(calls) > 1_000
+    assert max(calls) <= 700
+
+
 def test_a_zone_without_hosts_or_without_proxies_is_served() -> None:
     day = joined(120, 0)
     assert sum(shares(day, "east").values()) == pytest.approx(1.0)
--- a/tests/test_outbox.py
+++ b/tests/test_outbox.py
@@ -73,6 +73,17 @@
     assert outbox.unsure() == (1, 2, 3)
 
 
+def test_a_call_that_was_taken_tells_which_steps_messages_were_written() -> None:
+    outbox = Outbox(100, 8)
+    assert outbox.taken(0) == []
+    outbox.add([SetShare(0, "a", 1.0), SetShare(0, "b", 1.0), Mark(1, False)])
+    assert (outbox.taken(1), outbox.taken(2)) == ([], [1])
+    for stamp in (2, 3, 4):
+        outbox.add([ShutOut(f"h{stamp}", True), Mark(stamp, False)])
+    assert outbox.taken(3) == []  # shut out ahead of their mark: a message of its own
+    assert outbox.taken(1) == [3, 4]
+
+
 def test_hosts_shut_out_ahead_of_their_mark_count_with_it() -> None:
     """They are the largest calls, and after a merge they go in one without a mark of its own."""
     outbox = Outbox(100, 8)
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -8,7 +8,7 @@
 import orjson
 import pytest
 
-from kelpcourse.interface import OrdersApplied, OrdersRepeated, ProxyJoined, ProxyLeft
+from kelpcourse.interface import OrdersApplied, OrdersRepeated, OrdersTaken, ProxyJoined, ProxyLeft
 from kelpcourse.memory.orders import EmptyTable, Limit, Mark, Order, SetShare, ShutOut, UseTable
 from kelpcourse.memory.outbox import Outbox
 from kelpcourse.memory.proxies import Applied, Joined, Left
@@ -377,6 +377,8 @@
     sent = [order["host"] for call in relay.calls for order in call if order["verb"] == "SET"]
     assert sent == [f"h{k}" for k in range(2000)]
     assert all(call[-1]["verb"] == "SYNC" for call in relay.calls)
+    bench.until(lambda: OrdersTaken(5) in bench.module.events)
+    assert bench.module.events.count(OrdersTaken(5)) == 1  # with its last part
 
 
 # News
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -8,8 +8,8 @@
 
 from kelpcourse.decide import FORGET_US
 from kelpcourse.interface import (
-    BindProxy, Checkpoint, Effect, Host, HostList, HostState, ListKind, OrdersApplied, ProxyJoined, ProxyLeft,
-    Retry, SetLevel, SetLine, Withdraw,
+    BindProxy, Checkpoint, Effect, Host, HostList, HostState, ListKind, OrdersApplied, OrdersTaken, ProxyJoined,
+    ProxyLeft, Retry, SetLevel, SetLine, Withdraw,
 )
 from tests.fleet import READ, SECOND, SETTINGS, WRITE, Day, changes, full, host, hosts, only
 
@@ -227,6 +227,26 @@
     assert all(len([t for t in sent if now - 10 * SECOND < t <= now]) <= 12 for now in sent)
 
 
+def test_messages_that_waited_for_the_relay_count_from_when_it_took_them() -> None:
+    listed = hosts(10)
+    day = Day(replace(SETTINGS, messages_most=12), listed=listed)
+    written: list[int] = []
+    waits: list[tuple[int, int]] = []  # when the relay takes it, checkpoint
+    for k in range(150):
+        out = day.until(day.now + SECOND // 5)
+        due = [(at, number) for at, number in waits if at <= day.now]
+        waits = [w for w in waits if w not in due]
+        written += [day.now for _ in due]
+        state = HostState.DRAINING if k % 2 else HostState.READY
+        out += day.send(*(OrdersTaken(number) for _, number in due),
+                        changes([host(100 + k % 10, state=state, started=day.now)]))
+        back_us = day.now + SECOND - k % 60 * SECOND // 5  # now and then the relay is out of reach for a second
+        waits += [(max(day.now, back_us), a.number) for a in only(out, Checkpoint)]
+    assert len(written) > 24
+    written = written[1:]  # the first went to nobody
+    assert all(len([t for t in written if now - 10 * SECOND < t <= now]) <= 12 for now in written)
+
+
 def test_ordinary_orders_wait_while_the_channel_is_slow() -> None:
     listed = hosts(10)
     day = Day(replace(SETTINGS, channel_backlog=300.0), listed=listed, answers=False)
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -7,7 +7,7 @@
 import pytest
 
 from kelpcourse.interface import (
-    Action, BindProxy, Checkpoint, DemandReport, HostReport, OrdersApplied, ProxyJoined, SetLevel, SetLine,
+    Action, BindProxy, Checkpoint, DemandReport, HostReport, HostState, OrdersApplied, ProxyJoined, SetLevel, SetLine,
     TimerFired, Withdraw,
 )
 from tests.fleet import SECOND, SETTINGS, Day, changes, host, hosts, only
@@ -175,6 +175,50 @@
     assert {a.host for a in only(out, Withdraw)} == {h.id for h in gone[2:13]}
 
 
+def takeover(before: int, after: int) -> tuple[Day, list[Action]]:
+    """A host is withdrawn while so many proxies are joined and not all bound; then others join."""
+    settings = replace(LARGE, drain_grace_us=12 * SECOND, proxies=before + after)
+    day = Day(settings=settings, listed=hosts(80), proxies=before, answers=False)
+    first = host(100, state=HostState.GONE)
+    assert only(day.send(changes([first])), Withdraw) == [Withdraw(100, True)]
+    day.until(day.now + SECOND // 10)
+    return day, day.send(*(ProxyJoined(p, "east", 10.0, False) for p in range(before, before + after)))
+
+
+def test_few_that_join_after_a_withdrawal_are_bound_ahead_and_beside_those_that_wait() -> None:
+    """Four in five directors died. Of those that came 0.3 s after a withdrawal one waited 14 s behind the rest to
+    be bound, and sent to the host all along."""
+    day, out = takeover(66, 2)
+    assert {b.proxy for b in only(out, BindProxy)} == {66, 67}
+    day.send(changes([host(k, state=HostState.GONE) for k in range(101, 140)]))
+    assert day.director.dropped  # what is withdrawn next has to wait for room
+    assert [b.proxy for b in only(day.send(ProxyJoined(66, "east", 10.0, False)), BindProxy)] == [66]
+
+
+def test_many_that_join_after_a_withdrawal_are_told_anew_with_the_next() -> None:
+    """1,250 proxies that came from dead directors had 13.4 s to leave 30 hosts withdrawn before; at 40 lines a
+    binding the channel takes 15 s for them, and 105 tries reached these hosts."""
+    day, out = takeover(10, 60)
+    assert not only(out, Withdraw)
+    told = only(day.send(changes([host(101, state=HostState.GONE)])), Withdraw)
+    assert sorted(told, key=lambda w: w.host) == [Withdraw(100, True), Withdraw(101, True)]
+    assert not only(day.send(changes([host(102, state=HostState.GONE)])), Withdraw)[1:]  # they know it now
+
+
+def test_many_that_join_after_a_withdrawal_are_told_anew_in_time_if_no_other_follows() -> None:
+    day, _ = takeover(10, 60)
+    out = day.until(day.now + 2 * SECOND)
+    assert not only(out, Withdraw)
+    assert Withdraw(100, True) in day.until(day.now + 3 * SECOND)
+    assert not only(day.until(day.now + 5 * SECOND), Withdraw)
+
+
+def test_a_host_that_is_back_is_not_withdrawn_anew() -> None:
+    day, _ = takeover(10, 60)
+    day.send(changes([host(100, started=day.now)]))
+    assert Withdraw(100, True) not in day.until(day.now + 6 * SECOND)
+
+
 def test_proxies_not_bound_yet_come_before_lines_while_hosts_are_out() -> None:
     """A proxy on its standing table was left without a host when those it held were withdrawn."""
     day = Day(settings=LARGE, listed=hosts(80), proxies=70, answers=False)
