Let watches that move to an address that is down wait longer, each director by its seed

Need: many callers. A new configuration moves the watches of all directors at once. While the new address refused, each tried it each 0.1 s: 230 directors 2,300 times a second, at a service that may have too many callers already. Waits grow to 0.8 s now and are up to twice as long by the director's seed. The old watch serves on meanwhile, and the first tries come as soon as before, so nothing waits where the address answers.

--- a/kelpcourse/limits.py
+++ b/kelpcourse/limits.py
@@ -60,6 +60,7 @@
     # Discovery
     list_us: int = 3_000_000  # for the first object of a watch, or a whole list
     watch_silence_us: int = 3_500_000  # an empty line comes every 2 s
+    watch_wait_us: int = 800_000  # between two tries at an address that the watch moves to, twice as long at most
     names: int = 16_384  # hosts whose names are remembered; those listed are, however many
 
     # Probes
--- a/kelpcourse/service/director.py
+++ b/kelpcourse/service/director.py
@@ -71,7 +71,8 @@
         self._outbox = Outbox(limits.orders, limits.marks)
         self._waiting = Signal()
         self._source = make_source(self._parts, config.settings, self._keep) if make_source is not None else None
-        self._discovery = self._source or Discovery(self._parts, config.discovery, config.known.version)
+        self._discovery = self._source or Discovery(
+            self._parts, config.discovery, config.known.version, config.seed % 1_024 / 1_024)
         self._probes = Probes(self._parts)
         self._calls = Calls(self._parts, config.relay, self._outbox, self._waiting)
         self._news = NewsReader(self._parts, config.relay, self._outbox, self._waiting)
--- a/kelpcourse/wire/discovery.py
+++ b/kelpcourse/wire/discovery.py
@@ -60,8 +60,10 @@
 class Discovery:
     """Makes the calls that the module asks for; each is answered to it exactly once."""
 
-    def __init__(self, parts: Parts, address: Address, version: int) -> None:
+    def __init__(self, parts: Parts, address: Address, version: int, spread: float = 0.0) -> None:
+        """`spread`: see Backoff; a new configuration moves the watches of all directors to one address at once."""
         self._parts = parts
+        self._spread = spread
         self._address = address
         self._version = version
         self._watch: Watch | None = None
@@ -104,7 +106,7 @@
         self._stop(former)
 
     def _run_watch(self, watch: Watch) -> Routine:
-        backoff = Backoff(self._parts.limits)
+        backoff = Backoff(self._parts.limits, self._parts.limits.watch_wait_us, self._spread)
         reason = yield from self._until_lost(watch)
         while watch is self._watch and self._former is not None:
             self._parts.log.event("watch_tried_again", reason=reason)
--- a/kelpcourse/wire/parts.py
+++ b/kelpcourse/wire/parts.py
@@ -37,15 +37,18 @@
 
 
 class Backoff:
-    """Waits that double from failure to failure, up to a limit."""
+    """Waits that double from failure to failure, up to a limit. `spread`, below 1, is the part by which they are
+    longer here: where all directors ask one service, each has its own, or they would come together for ever."""
 
-    def __init__(self, limits: Limits) -> None:
+    def __init__(self, limits: Limits, most_us: int = 0, spread: float = 0.0) -> None:
         self._limits = limits
+        self._most_us = most_us or limits.backoff_most_us
+        self._spread = spread
         self._next_us = limits.backoff_least_us
 
     def next_us(self) -> int:
-        wait, self._next_us = self._next_us, min(self._next_us * 2, self._limits.backoff_most_us)
-        return wait
+        wait, self._next_us = self._next_us, min(self._next_us * 2, self._most_us)
+        return round(wait * (1 + self._spread))
 
     def reset(self) -> None:
         self._next_us = self._limits.backoff_least_us
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -22,7 +22,7 @@
 QUICK = replace(
     Limits(), gather_us=2 * MS, connect_us=60 * MS, send_us=60 * MS, backoff_least_us=5 * MS,
     backoff_most_us=10 * MS, answer_us=40 * MS, throttled_us=5 * MS, idle_us=50 * MS,
-    news_silence_us=80 * MS, news_settle_us=40 * MS, list_us=80 * MS, watch_silence_us=80 * MS,
+    news_silence_us=80 * MS, news_settle_us=40 * MS, list_us=80 * MS, watch_silence_us=80 * MS, watch_wait_us=10 * MS,
     probe_us=40 * MS, accept_wait_us=5 * MS, bind_wait_us=5 * MS,
 )
 HASTY = replace(QUICK, join_us=40 * MS, pinger_us=80 * MS, collector_us=160 * MS)  # to test silence
--- a/tests/test_discovery_client.py
+++ b/tests/test_discovery_client.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Iterator
+from dataclasses import replace
 
 import pytest
 
@@ -11,6 +12,7 @@
 from kelpcourse.wire.discovery import Discovery, read_list
 from kelpcourse.wire.fields import BadMessage
 from kelpcourse.wire.loop import Wait
+from kelpcourse.wire.parts import Backoff
 from kelpcourse.wire.stream import Act
 from tests.standins import MS, QUICK, Bench, Caller, StandIn, entry, listed
 
@@ -255,6 +257,20 @@
     assert lists(bench)[2].version == 44
 
 
+def test_watches_that_move_to_an_address_that_is_down_wait_longer_and_apart() -> None:
+    """A new configuration moves all directors at once: at ten tries a second each, 230 of them were 2,300."""
+    limits = replace(QUICK, watch_wait_us=800 * MS)
+    one, other = Backoff(limits, limits.watch_wait_us), Backoff(limits, limits.watch_wait_us, 0.5)
+    waits = [(one.next_us(), other.next_us()) for _ in range(12)]
+    assert waits[-1] == (800 * MS, 1_200 * MS)
+    assert all(later == 1.5 * sooner for sooner, later in waits)
+    bench = Bench(limits)
+    _, new = moved(bench, Service(bench, stream(bench, listed(42, entry("h1")), then_silent=False)), *[refuse] * 50)
+    bench.pass_us(3_000 * MS)
+    assert 4 <= len(new.targets) <= 12
+    bench.close()
+
+
 def test_moves_close_together_end_at_the_newest_address(bench: Bench) -> None:
     old = Service(bench, stream(bench, listed(42, entry("h1")), then_silent=False))
     discovery, between = moved(bench, old, silent)
