Let repeated calls leave the books in their turn, and end hosts shut out ahead in the mark

It counts in its turn at the channel's pace now, later if the relay took it later. - After a merge hosts shut out went ahead in a call without a mark. Proxies that the next call did not concern never answered; 12,083 lines stood for 11 s. Both calls end in the mark now, and a second one that holds nothing else is not made. - Withdrawals waited for the channel however long: a quarter of a grace at most. That a repeat waits until it fits is still to come (docs/ROADMAP.md).

--- a/kelpcourse/channel.py
+++ b/kelpcourse/channel.py
@@ -55,7 +55,8 @@
     def taken(self, number: int, now_us: int) -> None:
         """Times run from here: a large step is under way for longer than a small one, or had to wait."""
         for step in (*self._steps, *self._written.get(None, ())):
-            step.at_us = now_us if step.number == number else step.at_us
+            if step.number == number:
+                step.due_us, step.at_us = step.due_us + now_us - step.at_us, now_us
 
     def applied(self, proxy: ProxyId, number: int) -> None:
         """A proxy's messages arrive in order: this one and all before it are through. Numbers start over."""
@@ -73,19 +74,18 @@
 
     def joined(self, proxy: ProxyId, now_us: int) -> None:
         """Of one that was not heard to leave, what waits may reach it yet, but no answer to it will come."""
-        if waits := sum(cost for _, cost in self._of.get(proxy, ())):
-            self._unseen.append((now_us + self._longest_us, waits))
+        self._unseen.append((now_us + self._longest_us, sum(cost for _, cost in self._of.get(proxy, ()))))
         self.left(proxy, False)
 
     def repeated(self, number: int, now_us: int) -> None:
         """A step's orders may have gone out twice: no answer tells when the second are through."""
-        waits = sum(step.lines + step.others for step in self._steps if step.number == number)
-        self._unseen.append((now_us + self._longest_us, waits))
+        again = (step.lines + step.others for step in self._steps if step.number == number)
+        self.sent(number, now_us, {}, next(again, 0.0))
         for written in self._written.values():
             written += [step for step in written if step.number == number][:1]
 
     def waiting(self, now_us: int) -> float:
-        self._unseen = [(until_us, lines) for until_us, lines in self._unseen if until_us >= now_us]
+        self._unseen = [(until_us, n) for until_us, n in self._unseen if until_us >= now_us and n]
         total, kept, behind = sum(lines for _, lines in self._unseen), deque[Step](), False
         for step in self._steps:
             unanswered = step.unanswered > 0 and now_us - step.at_us < self._longest_us
--- a/kelpcourse/decide.py
+++ b/kelpcourse/decide.py
@@ -106,7 +106,7 @@
         self.keys, self.levels_sent = dict[Key, list[TableId]](), dict[tuple[TableId, int], float]()
         self.tables = {zone: self._tables_of(zone, crowded) for zone in settings.zones}
         self.lines: dict[TableId, dict[HostId, float]] = {t: {} for ts in self.keys.values() for t in ts}
-        self.out_hosts, self.dropped = dict[HostId, int](), dict[HostId, None]()  # withdrawn; to be
+        self.out_hosts, self.dropped = dict[HostId, int](), dict[HostId, int]()  # withdrawn; to be
         self.holders: dict[TableId, dict[ProxyId, None]] = {table: {} for table in self.lines}
         self.loose = dict[ProxyId, int]()  # not bound to all their tables, since when: they may hold any host
         self.seen = dict[ProxyId, tuple[str, float]]()  # zone and usual rate of all that ever joined
@@ -204,7 +204,7 @@
 
     def _drop(self, host: HostId) -> None:
         self.servers.pop(host, None)
-        self.dropped |= {host: None} if host not in self.out_hosts else {}
+        self.dropped |= {host: self.dropped.get(host, self.now)} if host not in self.out_hosts else {}
         self.adopting = False  # rule 3: tables of before may hold it unshut
 
     def _take_report(self, event: HostReport) -> None:
@@ -523,8 +523,9 @@
         fresh, room = list(self.dropped), self._room(QUEUE_MOST)
         while (cost := self._withdrawal(fresh)) > room + self.queued:  # more than an empty channel takes
             fresh = fresh[:len(fresh) // 2]
+        soon = self.now - min(self.dropped.values(), default=0) < BIND_GRACE * self.s.drain_grace_us
         long = cost > self.spans[QUEUE_BIND] and (self._room(QUEUE_BIND) < 0 or self._mass())
-        for host in fresh if cost <= room and not long else []:
+        for host in fresh if cost <= room and not (long and soon) else []:
             self._order_host(host, True)
             del self.dropped[host]
             self.out_hosts[host] = self.now
@@ -539,7 +540,7 @@
         if len(late) * size <= self._loose_lines(len(gone)):
             return late
         if self.dropped or self.now - min(late.values()) >= BIND_GRACE * self.s.drain_grace_us:
-            self.dropped |= dict.fromkeys(gone)
+            self.dropped = dict.fromkeys(gone, self.now) | self.dropped
         return {}
 
     def _withdrawal(self, hosts: Sequence[HostId]) -> float:
@@ -614,9 +615,8 @@
             new = {t: 1 + len(self.lines[t]) + len(classes) + len(self.lines[t].keys() & self.out_hosts)
                    for t, classes in mine.items() if number not in self.holders[t] and self.lines[t]}
             size = sum(new.values()) + self.s.message_head + 1
-            ahead = number in late and not self.loose_hosts and not self._mass()
-            room = self._room(QUEUE_MOST if ahead else QUEUE_BIND)
-            if new and self.queued and (self.dropped or room < size):
+            up = number in late and not self.loose_hosts and not self._mass()
+            if new and self.queued and (self.dropped or self._room(QUEUE_MOST if up else QUEUE_BIND) < size):
                 break  # rule 3: all that fill the channel must not keep hosts to be withdrawn out of it
             for table in new:
                 self.holders[table][number] = None
--- a/kelpcourse/memory/outbox.py
+++ b/kelpcourse/memory/outbox.py
@@ -97,15 +97,17 @@
 
     def _merge(self) -> None:
         """Folds all batches that wait into one with the same end result. Hosts shut out go ahead of it, in a
-        call of their own: they have a time limit, and what piled up takes the channel a while."""
+        call of their own: they have a time limit, and what piled up takes the channel a while. Both end in the mark:
+        proxies that the second does not concern would never answer, and the module would wait for them."""
         first = [self._batches.popleft()] if self._calling else []
         merged: dict[tuple[object, ...], Order] = {}
         for batch in self._batches:
             for order in batch:
                 fold(merged, order, self._marks)
         urgent = [order for order in merged.values() if shuts_out(order)]
+        urgent += [merged[MARK]] if urgent and MARK in merged else []
         rest = [order for order in merged.values() if not shuts_out(order)]
-        self._batches = deque(batch for batch in (*first, urgent, rest) if batch)
+        self._batches = deque(batch for batch in (*first, urgent, rest if rest != urgent[-1:] else []) if batch)
 
     def _cut(self) -> int:
         """Gives up the oldest orders beyond the limit, but no host shut out: proxies would go on sending there."""
@@ -144,5 +146,7 @@
 
 
 def later_mark(earlier: Mark, later: Mark, most: int) -> Mark:
+    if earlier.stamp == later.stamp:  # of hosts that were to go ahead
+        return later
     covers = (*earlier.covers, earlier.stamp, *later.covers)
     return Mark(later.stamp, earlier.everyone or later.everyone, covers[-most:])
--- a/tests/test_channel.py
+++ b/tests/test_channel.py
@@ -102,8 +102,26 @@
     assert channel.waiting(SECOND) == 50
     channel.applied(1, 1)
     channel.applied(2, 2)
-    assert channel.waiting(2 * SECOND) == 20
-    assert channel.waiting(LONGEST + SECOND + 1) == 0
+    assert channel.waiting(SECOND) == 20
+
+
+def test_the_second_copy_of_a_call_leaves_in_its_turn_at_the_channels_pace() -> None:
+    """Held for as long as a full channel takes, 9,000 lines kept hosts from being withdrawn for 12 s."""
+    channel = booked({1: 100.0})
+    channel.repeated(1, 2 * SECOND)
+    channel.applied(1, 1)
+    assert channel.waiting(2 * SECOND) == 100
+    assert channel.waiting(5 * SECOND // 2) == 50
+    channel.taken(1, 5 * SECOND // 2)  # it waited for the relay for half a second
+    assert channel.waiting(3 * SECOND) == 50
+    assert channel.waiting(7 * SECOND // 2) == 0
+
+
+def test_a_call_that_broke_again_and_again_counts_once_more_each_time() -> None:
+    channel = booked({1: 100.0})
+    for _ in range(3):
+        channel.repeated(1, 0)
+    assert channel.waiting(0) == 400
 
 
 def test_bindings_leave_room_for_hosts_to_be_withdrawn() -> None:
--- a/tests/test_mass.py
+++ b/tests/test_mass.py
@@ -108,15 +108,14 @@
 
 
 class RealDay:
-    def __init__(self, lost: int, make: Callable[[Settings], Director] = Director) -> None:
+    def __init__(self, lost: float, make: Callable[[Settings], Director] = Director) -> None:
         limits = Limits().serving(MASS.proxies)
         self.world = MassWorld(MASS)
         self.bench = Bench(limits, MASS)
         self.facade = self.bench.facade = Facade(MASS, 7, limits, make)
         parts = replace(self.bench.parts, facade=self.facade)
         self.outbox, self.waiting = Outbox(limits.orders, limits.marks), Signal()
-        self.lost = lost  # calls that are carried out and not answered
-        self.calls = 0
+        self.lost, self.draw = lost, random.Random(1)  # part of the calls that are carried out and not answered
         relay = StandIn(self.bench.loop, self._serve)
         self.bench.loop.start("calls", Calls(parts, relay.address, self.outbox, self.waiting).run())
         self.members = {f"s-{h.id}": member(f"s-{h.id}") for h in HOSTS}
@@ -128,8 +127,7 @@
         while (call := (yield from caller.request())) is not None:
             orders = orjson.loads(call[1])["orders"]
             self.world.order(self.bench.clock.now, [of_wire(order) for order in orders])
-            self.calls += 1
-            if self.calls in range(20, 20 + self.lost):
+            if self.draw.random() < self.lost:
                 yield from caller.silence()
                 return
             yield from caller.answer(200, b'{"ok_count":%d}' % len(orders))
@@ -145,7 +143,8 @@
             now = self.bench.clock.now
             if now % (10 * MS) == 0:
                 for proxy, stamp in self.world.advance(now):
-                    self.facade.report_applied(proxy, stamp, 1.0)
+                    for covered in self.outbox.stamps(stamp):
+                        self.facade.report_applied(proxy, covered, 1.0)
                 self.world.check(now)
 
     def join(self, proxies: range, fresh: bool, a_ms: int) -> None:
@@ -193,8 +192,8 @@
 
 def test_the_real_parts_keep_queue_and_drains_though_answers_of_the_relay_are_lost() -> None:
     """Calls are carried out and go again: the channel holds them twice, and proxies were written twice."""
-    day = taken_over(RealDay(lost=3))
-    assert day.bench.counters["relay_calls_failed"] == 3
+    day = taken_over(RealDay(0.15))
+    assert day.bench.counters["relay_calls_failed"] > 3
     assert len(day.world.out) == 60
     day.bench.close()
 
--- a/tests/test_outbox.py
+++ b/tests/test_outbox.py
@@ -22,8 +22,8 @@
     outbox = Outbox(100, 8)
     outbox.add([SetShare(0, "a", 1.0), UseTable(1, 0, ()), ShutOut("c", False), Mark(1, False)])
     outbox.add([ShutOut("b", True), ShutOut("a", True), SetShare(0, "d", 1.0), Mark(2, False)])
-    assert outbox.begin() == [ShutOut("b", True), ShutOut("a", True)]
-    outbox.taken(2)
+    assert outbox.begin() == [ShutOut("b", True), ShutOut("a", True), Mark(2, False, (1,))]
+    assert outbox.taken(3) == [1, 2]
     assert outbox.begin() == [
         SetShare(0, "a", 1.0), UseTable(1, 0, ()), ShutOut("c", False), SetShare(0, "d", 1.0),
         Mark(2, False, (1,))]
@@ -80,17 +80,28 @@
     assert (outbox.taken(1), outbox.taken(2)) == ([], [1])
     for stamp in (2, 3, 4):
         outbox.add([ShutOut(f"h{stamp}", True), Mark(stamp, False)])
-    assert outbox.taken(3) == []  # shut out ahead of their mark: a message of its own
-    assert outbox.taken(1) == [3, 4]
+    assert outbox.taken(4) == [3, 4]
 
 
 def test_hosts_shut_out_ahead_of_their_mark_count_with_it() -> None:
-    """They are the largest calls, and after a merge they go in one without a mark of its own."""
+    """They are the largest calls. Without a mark of its own after a merge, nobody answered theirs who was not concerned
+    by what followed: 12,000 lines stood in the books of an empty channel, and nothing was withdrawn for 12 s."""
     outbox = Outbox(100, 8)
     outbox.add([ShutOut("a", True), Mark(1, False)])
     outbox.add([SetShare(0, "b", 1.0), Mark(2, False)])
-    assert outbox.begin() == [ShutOut("a", True)]
+    assert outbox.begin() == [ShutOut("a", True), Mark(2, False, (1,))]
     assert outbox.unsure() == (1, 2)
+    assert outbox.stamps(2) == (1, 2)
+    assert outbox.begin() == [ShutOut("a", True), Mark(2, False, (1,))]
+    outbox.taken(2)
+    assert outbox.begin() == [SetShare(0, "b", 1.0), Mark(2, False, (1,))]
+
+
+def test_hosts_shut_out_and_nothing_else_are_one_call() -> None:
+    outbox = Outbox(100, 8)
+    for stamp in (1, 2):
+        outbox.add([ShutOut(f"h{stamp}", True), Mark(stamp, False)])
+    assert outbox.batches == 1
 
 
 def test_bindings_of_a_proxy_that_left_during_a_call_are_not_sent_again() -> None:
