--- a/kelpcourse/memory/outbox.py
+++ b/kelpcourse/memory/outbox.py
@@ -53,7 +53,7 @@
 
     def taken(self, count: int) -> list[int]:
         """The call was answered: the first `count` of its orders stand. The stamps of the steps whose messages were
-        just written; of steps merged into it the last, as hosts shut out ahead went in a message of their own."""
+        just written; of steps merged into it the last one, as what is merged may be two messages to a proxy."""
         self._calling = False
         if not self._batches:
             return []
