Take lines of withdrawn hosts along, and count proxies in doubt as bound

Host s- was listed as draining at 12.13 s; directors n0, n1, n3, n4 withdrew it at once, n2 at 16.34 s ("orders 32 OUT"). n2 had 57 proxies bound and one that had just joined: "dropped=60 fresh=60 cost=3886 room=2460". Of the 60 hosts 40 had been withdrawn before and were to be told anew for that one; their lines stood in the table still, so each cost a line at all 57, and they stood ahead of the 20 new ones. Ruled out: lists that came late (all directors heard within 0.01 s), the relay (calls taken at once), the outbox (one batch). At fault: _order_host, which left the lines, and _tell_late, which put the old ones first.

At fault: _let_go on a joining that no leaving went before.

Change: the lines of a host go out with its withdrawal, as far as a call holds them, which costs bound proxies the one line that the withdrawal did; telling late joiners anew then costs bound proxies nothing, and goes behind what nobody was told. In a merged call lines and withdrawals go ahead together. Proxies that joined again unseen keep their tables in the books until they are bound anew.

The count in tests/massworld.py took lines as applied when ordered; it holds them by proxy now, which is stricter. Two tests counted a withdrawal as a line where the table had lost the host a moment before; they count by what is held, same limit.

--- a/kelpcourse/channel.py
+++ b/kelpcourse/channel.py
@@ -5,20 +5,17 @@
 import math
 from collections import deque
 from collections.abc import Iterable
-from dataclasses import dataclass
 
 from kelpcourse.interface import ProxyId
 
 
-@dataclass
 class Step:
-    number: int  # of its checkpoint
-    at_us: int  # when its messages were written, as far as is known
-    due_us: int  # when it is through at the channel's pace, or later
-    lines: float  # that its orders put into the channel
-    unanswered: float  # lines of those
-    others: float  # lines to proxies that may not answer
-    unsure: bool  # some of its lines are never answered: it has its turn at the channel's pace
+    def __init__(self, number: int, at_us: int, due_us: int, lines: float, others: float) -> None:
+        self.number, self.at_us = number, at_us  # of its checkpoint; when its messages were written
+        self.due_us = due_us  # when it is through at the channel's pace, or later
+        self.lines = self.unanswered = lines  # that its orders put into the channel; those not answered
+        self.others = others  # lines to proxies that may not answer
+        self.unsure = others > 0  # some lines are never answered: it has its turn at the channel's pace
 
 
 class Channel:
@@ -39,7 +36,7 @@
         """Books a step's messages, by proxy, and about so many lines to others, of whom no answer is sure."""
         total = sum(lines.values())
         self._due_us = max(now_us, self._due_us) + int((total + others) / self._lines_per_us)
-        step = Step(number, now_us, self._due_us, total, total, others, others > 0)
+        step = Step(number, now_us, self._due_us, total, others)
         self._steps.append(step)
         for proxy, cost in lines.items():
             self._of.setdefault(proxy, deque()).append((step, cost))
--- a/kelpcourse/decide.py
+++ b/kelpcourse/decide.py
@@ -5,7 +5,6 @@
 from bisect import bisect_left
 from collections import Counter, deque
 from collections.abc import Sequence
-from dataclasses import dataclass, field
 
 from kelpcourse.channel import Channel
 from kelpcourse.interface import (
@@ -36,29 +35,19 @@
 Key = tuple[frozenset[str], frozenset[str], str, str]  # a table's hosts: zones, kinds, bound to, beside whom
 
 
-@dataclass
 class Server:
-    host: Host
-    speed: float = 1.0
-    health: float = 1.0
-    unreached: bool = False  # behind a cut path, until it is back
-    cut_us: int = 0
-    eased_us: int = 0
-    tries: float = 0.0
-    failed: float = 0.0
-    good: float = 0.0
-    time_us: float = 0.0
-    heard_us: int = 0  # when a report last told of tries there
-    lines: int = 0  # reports heard
-    load: dict[str, float] = field(default_factory=dict)
+    def __init__(self, host: Host, now_us: int) -> None:
+        self.host, self.speed, self.health = host, 1.0, 1.0
+        self.unreached, self.cut_us, self.eased_us = False, 0, now_us  # behind a cut path, until it is back
+        self.tries = self.failed = self.good = self.time_us = 0.0
+        self.heard_us = self.lines = 0  # when a report last told of tries there; reports heard
+        self.load: dict[str, float] = {}
 
     def take(self, now_us: int, report: HostReport) -> None:
         kept = FADE ** min(1.0, (now_us - self.heard_us) / max(1, report.span_us))  # they come by turns
         good = report.tries - report.failed
-        self.tries = self.tries * kept + report.tries
-        self.failed = self.failed * kept + report.failed
-        self.good = self.good * kept + good
-        self.time_us = self.time_us * kept + good * report.good_time_us
+        self.tries, self.failed = self.tries * kept + report.tries, self.failed * kept + report.failed
+        self.good, self.time_us = self.good * kept + good, self.time_us * kept + good * report.good_time_us
         self.heard_us, self.lines = now_us, self.lines + 1
         self.load.update(report.load)
 
@@ -108,6 +97,7 @@
         self.lines: dict[TableId, dict[HostId, float]] = {t: {} for ts in self.keys.values() for t in ts}
         self.out_hosts, self.dropped = dict[HostId, int](), dict[HostId, int]()  # withdrawn; to be
         self.holders: dict[TableId, dict[ProxyId, None]] = {table: {} for table in self.lines}
+        self.doubtful = set[ProxyId]()  # of the loose: holders still, unless they left unseen
         self.loose = dict[ProxyId, int]()  # not bound to all their tables, since when: they may hold any host
         self.seen = dict[ProxyId, tuple[str, float]]()  # zone and usual rate of all that ever joined
         self.levels, self.volume = [1.0] * len(settings.classes), 0.0  # V: best good rate heard lately
@@ -143,7 +133,10 @@
                 self._take_list(event)
             case ProxyJoined(proxy, zone, rate, fresh):
                 self.joins.append(self.now)
-                self._let_go(proxy)
+                if proxy in self.proxies and (proxy in self.doubtful or proxy not in self.loose):
+                    self.doubtful.add(proxy)  # the news had a gap: it is bound still, or left unseen
+                else:
+                    self._let_go(proxy)
                 self.channel.joined(proxy, self.now)
                 self.proxies[proxy] = (self.now + HOLD_US) * (self._mass() and not fresh)
                 self.loose[proxy], self.seen[proxy] = self.now, (zone, rate)
@@ -169,6 +162,10 @@
     def _let_go(self, number: ProxyId) -> None:
         self.proxies.pop(number, None)
         self.loose.pop(number, None)
+        self._unbind(number)
+
+    def _unbind(self, number: ProxyId) -> None:
+        self.doubtful.discard(number)
         for holders in self.holders.values():
             holders.pop(number, None)
 
@@ -194,7 +191,7 @@
         if host.state is not HostState.READY:
             self._drop(host.id)
         elif known is None or known.host.started_us != host.started_us:
-            self.servers[host.id] = Server(host, eased_us=self.now)
+            self.servers[host.id] = Server(host, self.now)
             self.dropped.pop(host.id, None)
             cold = self._warmth(self.servers[host.id]) < 1
             self.adopting &= not cold  # rule 4: and a cold one at its full weight
@@ -285,8 +282,7 @@
         """Shares follow what hosts show they can do; at a start by tables of before, what another learned."""
         tries = sum(v.tries for v in self.servers.values())
         if self.adopting and tries >= ADOPT_TRIES * len(self.servers):
-            self.adopting = False
-            held = sum(until_us > 0 for until_us in self.proxies.values())
+            self.adopting, held = False, sum(until_us > 0 for until_us in self.proxies.values())
             for server in self.servers.values() if 2 * held > len(self.proxies) else ():
                 odds = server.tries * len(self.servers) / tries / self._nominal(server)
                 server.speed = min(SPEED_RANGE[1], max(SPEED_RANGE[0], server.speed * odds))
@@ -540,7 +536,7 @@
         if len(late) * size <= self._loose_lines(len(gone)):
             return late
         if self.dropped or self.now - min(late.values()) >= BIND_GRACE * self.s.drain_grace_us:
-            self.dropped = dict.fromkeys(gone, self.now) | self.dropped
+            self.dropped |= {h: self.dropped.get(h, self.now) for h in gone}  # behind those nobody knows
         return {}
 
     def _withdrawal(self, hosts: Sequence[HostId]) -> float:
@@ -551,14 +547,20 @@
     def _loose_lines(self, hosts: int) -> float:
         """What so many hosts cost proxies not bound yet, of which it is not known which hold them."""
         reached = 1 - (1 - self.loosely) ** hosts
-        return len(self.loose) * (self.loosely * hosts + (self.s.message_head + 1) * reached)
+        others = len(self.loose) - len(self.doubtful)
+        return others * (self.loosely * hosts + (self.s.message_head + 1) * reached)
 
     def _order_host(self, host: HostId, out: bool) -> None:
+        """Its lines go with a host withdrawn: that costs bound proxies no more, later tellings nothing."""
+        held = [table for table, lines in self.lines.items() if host in lines]
+        taken = out and len(self.out) + len(held) < ORDERS_MOST
+        for table in held:
+            self._charge(table, SetLine(table, host, 0.0) if taken else None)
+            if taken:
+                del self.lines[table][host]
         self.out.append(Withdraw(host, out))
         self.queued += self._loose_lines(self.loose_hosts + 1) - self._loose_lines(self.loose_hosts)
         self.loose_hosts += 1
-        for table in [t for t, lines in self.lines.items() if host in lines]:
-            self._charge(table)
 
     def _send_lines(self) -> bool:
         """A cold host's fall (rule 4) in all room left, new hosts, then the most for what messages cost."""
@@ -611,14 +613,16 @@
         for number in {**late, **self.loose}:
             if self.adopting and self.now < self.proxies[number]:  # it serves by a table of before
                 continue
-            mine = self._tables(number)  # rule 1: a table without lines would take what it holds
-            new = {t: 1 + len(self.lines[t]) + len(classes) + len(self.lines[t].keys() & self.out_hosts)
-                   for t, classes in mine.items() if number not in self.holders[t] and self.lines[t]}
+            mine, again = self._tables(number), number in self.doubtful
+            new = {t: 1 + len(self.lines[t]) + len(cls) + len(self.lines[t].keys() & self.out_hosts)
+                   for t, cls in mine.items() if self.lines[t] and (again or number not in self.holders[t])}
             size = sum(new.values()) + self.s.message_head + 1
             up = number in late and not self.loose_hosts and not self._mass()
             if new and self.queued and (self.dropped or self._room(QUEUE_MOST if up else QUEUE_BIND) < size):
                 break  # rule 3: all that fill the channel must not keep hosts to be withdrawn out of it
-            for table in new:
+            if again:
+                self._unbind(number)
+            for table in new:  # rule 1: a table without lines would take what it holds
                 self.holders[table][number] = None
                 self.out.append(BindProxy(number, table, tuple(mine[table])))
             if new:
--- a/kelpcourse/memory/outbox.py
+++ b/kelpcourse/memory/outbox.py
@@ -104,9 +104,10 @@
         for batch in self._batches:
             for order in batch:
                 fold(merged, order, self._marks)
-        urgent = [order for order in merged.values() if shuts_out(order)]
+        out = {order.host for order in merged.values() if isinstance(order, ShutOut) and order.out}
+        urgent = [order for order in merged.values() if withdraws(order, out)]
+        rest = [order for order in merged.values() if not withdraws(order, out)]
         urgent += [merged[MARK]] if urgent and MARK in merged else []
-        rest = [order for order in merged.values() if not shuts_out(order)]
         self._batches = deque(batch for batch in (*first, urgent, rest if rest != urgent[-1:] else []) if batch)
 
     def _cut(self) -> int:
@@ -124,6 +125,12 @@
         return over - left
 
 
+def withdraws(order: Order, out: set[str]) -> bool:
+    """Whether it shuts one of these hosts out or takes its line. The lines go first, as ordered: a proxy that
+    holds the host no more is not written to for it."""
+    return shuts_out(order) or (isinstance(order, SetShare) and order.share == 0 and order.host in out)
+
+
 def shuts_out(order: Order) -> bool:
     return isinstance(order, ShutOut) and order.out
 
--- a/tests/massworld.py
+++ b/tests/massworld.py
@@ -32,7 +32,7 @@
     joined_us: int
     standing: set[Host]
     tables: set[Host] = field(default_factory=set)  # bound to, as ordered
-    holds: set[Host] = field(default_factory=set)  # bound to, as applied
+    holds: dict[Host, set[Host]] = field(default_factory=dict)  # tables bound to and their lines, as applied
     shut: set[Host] = field(default_factory=set)
     written_us: deque[int] = field(default_factory=deque)
 
@@ -98,7 +98,8 @@
                         self.holders.setdefault(table, set()).add(proxy)
                         self.forwarders[proxy].tables.add(table)
                         held = self.tables.get(table, {})
-                        to([proxy], order, 1 + len(held) + self.levels[table] + len(held.keys() & self.out))
+                        sent = "USE", proxy, table, frozenset(held), frozenset(self.out)
+                        to([proxy], sent, 1 + len(held) + self.levels[table] + len(held.keys() & self.out))
                 case "LIMIT", table:
                     self.levels[table] = max(1, self.levels[table])
                     to(sorted(self.holders.get(table, ())), order)
@@ -141,8 +142,10 @@
     def _apply(self, forwarder: Forwarder, orders: list[Order]) -> None:
         for order in orders:
             if order[0] == "USE":
-                forwarder.holds.add(order[2])
-                forwarder.shut |= self.out
+                forwarder.holds[order[2]] = set(order[3])
+                forwarder.shut |= order[4]
+            elif order[0] == "SET" and order[1] in forwarder.holds:
+                (forwarder.holds[order[1]].add if order[3] > 0 else forwarder.holds[order[1]].discard)(order[2])
             elif order[0] == "OUT":
                 (forwarder.shut.add if order[2] else forwarder.shut.discard)(order[1])
 
@@ -161,7 +164,7 @@
 
     def _reach(self, f: Forwarder) -> set[Host]:
         """Hosts that a proxy may send to; a table that it is bound to takes the place of what it held."""
-        lines = set().union(*(self.tables[table].keys() for table in f.holds)) if f.holds else f.standing
+        lines = set().union(*f.holds.values()) if f.holds else f.standing
         return lines - f.shut
 
 
--- a/tests/test_connections.py
+++ b/tests/test_connections.py
@@ -99,11 +99,16 @@
     for number in day.director.proxies:
         for table in day.director.tables[day.director.seen[number][0]][number % day.director.groups]:
             holders[table] += 1
-    lines = {table: int(103 in at) for table, at in day.tables.items()}
+    held = {table for table, at in day.tables.items() if 103 in at}
+    lines = dict.fromkeys(day.tables, 0)
     out = day.send(changes([host(103, "east", HostState.GONE)]))
     assert Withdraw(103, True) in out
-    for line in (a for a in out if isinstance(a, SetLine)):
-        lines[line.table] += 1
+    for action in out:
+        if isinstance(action, SetLine):
+            lines[action.table] += 1
+            held -= {action.table} if action.host == 103 else set()
+        elif action == Withdraw(103, True):
+            lines.update((table, lines[table] + 1) for table in held)
     cost = sum(holders[table] * (count + 7) for table, count in lines.items() if count)
     assert 0 < cost < 120 * 8
     assert day.director.channel.waiting(day.now) - waits == cost
--- a/tests/test_outbox.py
+++ b/tests/test_outbox.py
@@ -29,6 +29,17 @@
         Mark(2, False, (1,))]
 
 
+def test_lines_of_hosts_shut_out_go_ahead_with_them() -> None:
+    """Behind them, a host shut out would be a line at each proxy whose table holds it, and its line one more."""
+    outbox = Outbox(100, 8)
+    outbox.add([SetShare(0, "a", 1.0), SetShare(0, "c", 0.0), Mark(1, False)])
+    outbox.add([SetShare(0, "b", 0.0), SetShare(1, "b", 0.0), ShutOut("b", True), Mark(2, False)])
+    assert outbox.begin() == [
+        SetShare(0, "b", 0.0), SetShare(1, "b", 0.0), ShutOut("b", True), Mark(2, False, (1,))]
+    outbox.taken(4)
+    assert outbox.begin() == [SetShare(0, "a", 1.0), SetShare(0, "c", 0.0), Mark(2, False, (1,))]
+
+
 def test_a_step_of_its_own_is_not_taken_apart() -> None:
     outbox = Outbox(100, 8)
     outbox.add([SetShare(0, "a", 1.0), ShutOut("b", True), Mark(1, True)])
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -146,6 +146,17 @@
     assert steps[1] > steps[3] > 1
 
 
+def lines_at_a_holder(before: list[tuple[int, Action]], log: list[tuple[int, Action]]) -> int:
+    """Lines at a proxy bound to the one table; a host shut out or let back is one only if the table holds it."""
+    held, lines = set[int](), 0
+    for at, (_, action) in enumerate([*before, *log]):
+        if isinstance(action, SetLine):
+            (held.add if action.weight > 0 else held.discard)(action.host)
+        if at >= len(before):
+            lines += isinstance(action, SetLine | SetLevel) or (isinstance(action, Withdraw) and action.host in held)
+    return lines
+
+
 def test_levels_and_returns_of_hosts_wait_for_a_channel_that_stands_still() -> None:
     """Nothing is applied any more while hosts go and come back cold and levels fall each second."""
     day = Day(settings=LARGE, listed=hosts(80), proxies=70)
@@ -158,9 +169,9 @@
         day.send(changes([replace(h, state=type(h.state).GONE) for h in gone]))
         day.send(changes([host(h.id, h.zone, started=day.now) for h in hosts(80)[3 * k - 6:3 * k - 3]]))
         day.second(hosts(80), time_us=900_000, demand=(20 + 20 * k, 5))
-    ordered = [a for _, a in day.log[before:] if isinstance(a, SetLine | SetLevel | Withdraw)]
     messages = sum(isinstance(a, Checkpoint) for _, a in day.log[before:])
-    assert 0 < 70 * (len(ordered) + messages * (SETTINGS.message_head + 1)) <= LIMIT
+    ordered = lines_at_a_holder(day.log[:before], day.log[before:])
+    assert 0 < 70 * (ordered + messages * (SETTINGS.message_head + 1)) <= LIMIT
 
 
 def test_hosts_that_go_one_after_another_are_withdrawn_together_in_a_full_channel() -> None:
--- /dev/null
+++ b/tests/test_withdrawals.py
@@ -0,0 +1,105 @@
+"""Withdrawals and lines on a small fleet with a short channel, against the count of tests/massworld.py."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import replace
+
+import pytest
+
+from kelpcourse.decide import Director
+from kelpcourse.interface import Checkpoint, HostId, HostState, ProxyJoined, SetLine, Settings, Withdraw
+from tests.fleet import SECOND, SETTINGS, Day, changes, full, host, only
+from tests.massworld import Broken, ModuleDay
+
+HOSTS = [host(1_000 + k, "east" if k % 2 else "west") for k in range(200)]
+ROLL = replace(  # a restart of directors beside a release: half of the proxies at one director, a channel of 1.8 s
+    SETTINGS, proxies=240, connections_least=392.0, channel_lines_per_s=3_200.0, channel_backlog=5_800.0,
+    drain_grace_us=3_900_000, transit_mean_us=226_000, transit_longest_us=565_000, messages_most=12,
+    bare_limit_us=8_600_000, cold_us=14 * SECOND)
+
+
+def numbers(first: int, count: int) -> list[HostId]:
+    return [h.id for h in HOSTS[first:first + count]]
+
+
+def release(make: Callable[[Settings], Director]) -> ModuleDay:
+    """Six in ten hosts are replaced within 7 s while proxies of other directors come. Raises Broken."""
+    day = ModuleDay(make, ROLL, HOSTS)
+    day.step(full(HOSTS))
+    day.join(range(30), lambda _: numbers(0, 5), 0.5, fresh=True)
+    day.run(8)
+    for version, first in enumerate((0, 40, 80), 2):
+        day.step(changes(day.drain(numbers(first, 40), version), version))
+        day.step(changes([host(5_000 + first + k, "east", started=day.now) for k in range(40)], version))
+        day.join(range(30 + first // 2, 50 + first // 2), lambda _: numbers(0, 200), 1.0)
+        day.run(1)
+    day.run(8)
+    return day
+
+
+def test_those_that_join_late_do_not_hold_up_the_next_withdrawal() -> None:
+    """Forty hosts had been withdrawn when a proxy joined. They were withdrawn anew with the next twenty, at the cost
+    of a line at every proxy that still had theirs in its table, and ahead of them: 60 hosts found no room for 4.2 s."""
+    assert not release(Director).director.dropped
+
+
+def test_lines_of_a_withdrawn_host_go_with_it_and_are_told_but_once() -> None:
+    """Told anew for late joiners, a host still in the table cost a line at each proxy bound to it."""
+    day = Day(ROLL, HOSTS, proxies=20)
+    day.until(day.now + 8 * SECOND)
+    out = day.send(changes([host(n, state=HostState.GONE) for n in numbers(0, 10)]))
+    assert {a.host for a in only(out, SetLine) if a.weight == 0} == set(numbers(0, 10))
+    assert {a.host for a in only(out, Withdraw) if a.out} == set(numbers(0, 10))
+    assert not day.tables[0].keys() & set(numbers(0, 10))
+    before = day.director.channel.waiting(day.now)
+    assert before == 20 * (10 + ROLL.message_head + 1)
+    day.until(day.now + SECOND // 10)
+    day.send(*(ProxyJoined(p, "east", 10.0, False) for p in range(100, 130)))
+    told = day.until(day.now + 2 * SECOND)
+    assert len(only(told, Withdraw)) == 10
+    assert not [a for a in only(told, SetLine) if a.host in numbers(0, 10)]
+
+
+def test_proxies_that_a_gap_in_the_news_leaves_in_doubt_may_still_take_lines() -> None:
+    """The news had a gap of 6 s and all proxies were told as joined anew. The relay still had them bound: 167 lines of
+    the next solution went to 40 of them uncounted, and 6,939 waited where 5,800 may."""
+    day = ModuleDay(Director, ROLL, HOSTS)
+    day.step(full(HOSTS))
+    day.join(range(76), lambda _: numbers(0, 5), 0.5, fresh=True)
+    day.run(10)
+    day.step(*(ProxyJoined(p, "east", 2.0, False) for p in range(76)))
+    day.run(0.5)
+    day.step(changes([replace(h, started_us=day.now) for h in HOSTS[:60]], 2))
+    day.run(20)
+    assert not day.director.loose
+    assert not day.director.doubtful
+    assert 2_000 < day.world.most <= ROLL.channel_backlog
+
+
+def test_one_that_left_unseen_is_bound_again() -> None:
+    day = Day(ROLL, HOSTS, proxies=3)
+    day.until(day.now + 8 * SECOND)
+    day.send(ProxyJoined(1, "east", 10.0, False))
+    assert day.director.doubtful <= {1}
+    out = [a for _, a in day.log] + day.until(day.now + 2 * SECOND)
+    assert [type(a).__name__ for a in out].count("BindProxy") == 4
+    assert not day.director.loose
+    assert list(day.director.holders[0]) == [0, 2, 1]
+    assert only(out, Checkpoint)
+
+
+class TellsAnewFirst(Director):
+    """Lines of withdrawn hosts stay in the tables, as they did."""
+
+    def _order_host(self, number: HostId, out: bool) -> None:
+        for table in [t for t, lines in self.lines.items() if number in lines]:
+            self._charge(table)
+        self.out.append(Withdraw(number, out))
+        self.queued += self._loose_lines(self.loose_hosts + 1) - self._loose_lines(self.loose_hosts)
+        self.loose_hosts += 1
+
+
+def test_the_count_finds_lines_left_in_the_tables() -> None:
+    with pytest.raises(Broken):
+        release(TellsAnewFirst)
