Mend races at start, on signals, in the loop and among lists that cross each other

An error in a stopped routine's finally ended its stopper. - Signals: handlers were set after configuration and facade, so that SIGHUP before that ended the process; an error in a reload (a source's reread) ended the routine that hears signals. They are caught first, and the routine is kept. - Start: check_address listened on the real address and closed it again: whoever came in between was reset. The socket stays. - Reload: half a configuration was turned away for good; it is read again each 0.1 s for 2 s. - Lists: an older whole list brought draining hosts back; a fetch made the watch's next line look like a gap; a host with up_since_ms from 1e15 on, or any unforeseen error, ended the watch without the module's answer, and no drain was seen any more. Older lists are turned away, three times in a row; then discovery has started over and is asked for all it has. - Silent list: a watch is given up after 2.6 s, not 3.5: an empty line comes every 2 s, and changes count as told after 6 s. - Probes: one that ended by a defect left the module and the next probe waiting. - Calls: orders that came during a failed call ended each wait for a relay that is down (backoff skipped).

--- a/kelpcourse/limits.py
+++ b/kelpcourse/limits.py
@@ -16,6 +16,9 @@
     # Routines
     restart_us: int = 250_000  # before a routine that ended by a defect starts again
 
+    reload_us: int = 2_000_000  # in which a configuration that can't be read is tried again: it may be half replaced
+    reload_wait_us: int = 100_000  # between two tries
+
     # Listener
     connections: int = 1_024  # collectors and strangers at once, as far as descriptors are granted
     listen_queue: int = 1_024  # connections that the system holds until they are taken
@@ -59,7 +62,8 @@
 
     # Discovery
     list_us: int = 3_000_000  # for the first object of a watch, or a whole list
-    watch_silence_us: int = 3_500_000  # an empty line comes every 2 s
+    watch_silence_us: int = 2_600_000  # an empty line comes every 2 s; after 6 s changes count as told, heard or not
+    older_most: int = 3  # whole lists in a row, all older than what was told, until discovery has started over
     watch_wait_us: int = 800_000  # between two tries at an address that the watch moves to, twice as long at most
     names: int = 16_384  # hosts whose names are remembered; those listed are, however many
 
--- a/kelpcourse/service/director.py
+++ b/kelpcourse/service/director.py
@@ -6,6 +6,7 @@
 import os
 import resource
 import signal
+import socket
 import sys
 import traceback
 from collections.abc import Callable, Mapping
@@ -24,10 +25,10 @@
 from kelpcourse.limits import Limits
 from kelpcourse.service.logs import Log
 from kelpcourse.service.process import kept
-from kelpcourse.service.signals import signal_routine
+from kelpcourse.service.signals import Signals
 from kelpcourse.wire.discovery import Discovery
 from kelpcourse.wire.listener import Listener, listen
-from kelpcourse.wire.loop import Loop, Routine, Signal
+from kelpcourse.wire.loop import Loop, Routine, Signal, Task, Wait
 from kelpcourse.wire.parts import Parts
 from kelpcourse.wire.probes import Probes
 from kelpcourse.wire.relay import Calls, NewsReader
@@ -57,9 +58,12 @@
 
 
 class Service:
-    def __init__(self, config: Config, limits: Limits, environment: Mapping[str, str],
-                 make_source: MakeSource | None = None) -> None:
+    def __init__(self, config: Config, limits: Limits, environment: Mapping[str, str], signals: Signals,
+                 sock: socket.socket | None, make_source: MakeSource | None = None) -> None:
+        """`sock`: listens on the address already, unless the process before this one still holds it."""
         clock = Clock()
+        self._signals = signals
+        self._sock = sock
         self._environment = environment
         self._limits = limits
         self._counters = Counters()
@@ -75,8 +79,9 @@
             self._parts, config.discovery, config.known.version, config.seed % 1_024 / 1_024)
         self._probes = Probes(self._parts)
         self._calls = Calls(self._parts, config.relay, self._outbox, self._waiting)
-        self._news = NewsReader(self._parts, config.relay, self._outbox, self._waiting)
+        self._news = NewsReader(self._parts, config.relay, self._outbox, self._calls.there)
         self._stop = 0
+        self._reloading: Task | None = None
 
     def run(self) -> int:
         self._log.always("start", pid=os.getpid(), hosts=len(self._config.known.members),
@@ -84,16 +89,17 @@
         self._facade.report_known(self._config.known.members, self._config.known.version)
         if self._source is not None:
             self._source.start()
-        self._loop.start("signals", signal_routine(self._on_signal))
+        self._keep("signals", lambda: self._signals.read(self._on_signal))
         self._step(self._facade.start)
         self._keep("calls", self._calls.run)
         self._follow_news()
-        self._keep("listener", Listener(self._parts, self._config.listen).run)
+        self._keep("listener", Listener(self._parts, self._config.listen, self._sock).run)
         while not self._stop:
             self._loop.turn(self._facade.due_us())
             self._step(self._facade.tick)
         if self._source is not None:
             self._source.close()
+        self._signals.close()
         self._log.always("stop", signal=self._stop, counters=self._counters.snapshot())
         return 0
 
@@ -101,15 +107,34 @@
         for stream in self._news.streams():
             self._keep(f"news {stream}", partial(self._news.run, stream))
 
-    def _reload(self) -> None:
-        """Follows the file to new addresses. Everything else lives on: listener, module, proxies, orders."""
+    def _hang_up(self) -> None:
+        """A reload that is being tried again starts anew: the file may have changed since."""
+        if self._reloading is not None:
+            self._loop.stop(self._reloading)
+        self._reloading = self._loop.start("reload", self._reload())
+
+    def _reload(self) -> Routine:
+        """A file that is being replaced can't be read for a moment, and nobody sends a second signal when it can."""
         if self._source is not None:
             self._source.reread()
-        try:
-            new = reread_config(self._environment)
-        except BadConfig as error:
-            self._log.always("reload_failed", reason=str(error))
-            return
+        until_us, told = self._loop.clock() + self._limits.reload_us, False
+        while True:
+            try:
+                new = reread_config(self._environment)
+            except BadConfig as error:
+                again = self._loop.clock() < until_us
+                if not (told and again):
+                    self._log.always("reload_failed", reason=str(error), tried_again=again)
+                told = True
+            else:
+                self._follow(new)
+                return
+            if not again:
+                return
+            yield Wait(self._loop.clock() + self._limits.reload_wait_us)
+
+    def _follow(self, new: Config) -> None:
+        """Follows the file to new addresses. Everything else lives on: listener, module, proxies, orders."""
         moved, waits = differing(self._config, new, MOVES), differing(self._config, new, WAITS)
         self._config = replace(self._config, discovery=new.discovery, relay=new.relay)
         self._counters.add("reloads")
@@ -159,7 +184,7 @@
         if number == signal.SIGUSR1:
             self._log.always("counters", counters=self._counters.snapshot())
         elif number == signal.SIGHUP:
-            self._reload()
+            self._hang_up()
         else:
             self._stop = number
 
@@ -170,22 +195,25 @@
 
 
 def main(environment: Mapping[str, str], make_source: MakeSource | None = None) -> int:
+    signals = Signals()
     try:
         config = read_config(environment)
-        check_address(config.listen)
+        sock = bound(config.listen)
     except BadConfig as error:
         print(f"kelpcourse: {error}", file=sys.stderr)
         return BAD_CONFIG
     os.set_blocking(sys.stdout.fileno(), False)
     granted = resource.getrlimit(resource.RLIMIT_NOFILE)[0]
     limits = Limits().within(min(config.sockets, granted), config.memory_mb).serving(config.settings.proxies)
-    return Service(config, limits, environment, make_source).run()
+    return Service(config, limits, environment, signals, sock, make_source).run()
 
 
-def check_address(address: Address) -> None:
-    """An address that this machine does not have is a mistake; one still in use passes."""
+def bound(address: Address) -> socket.socket | None:
+    """The socket that listens there: who comes from now on is served once the loop runs. An address that this
+    machine does not have is a mistake; one still in use passes (None)."""
     try:
-        listen(address, 1).close()
+        return listen(address, Limits().listen_queue)
     except OSError as error:
         if error.errno != errno.EADDRINUSE:
             raise BadConfig(f"field 'listen': {address[0]}:{address[1]}: {error.strerror}") from None
+        return None
--- a/kelpcourse/service/process.py
+++ b/kelpcourse/service/process.py
@@ -11,7 +11,7 @@
 from kelpcourse.memory.counters import Counters
 from kelpcourse.service.clock import Clock
 from kelpcourse.service.logs import Log
-from kelpcourse.service.signals import signal_routine
+from kelpcourse.service.signals import Signals
 from kelpcourse.wire.loop import Loop, Routine, Wait
 
 
@@ -33,12 +33,14 @@
 
     def run(self, start: Callable[[], None], close: Callable[[], None], hang_up: Callable[[], None]) -> int:
         self._hang_up = hang_up
+        signals = Signals()
         self.log.always("start", pid=os.getpid(), hosts=0, proxies=0)
-        self.loop.start("signals", signal_routine(self._on_signal))
+        self.keep("signals", lambda: signals.read(self._on_signal))
         start()
         while not self._stop:
             self.loop.turn(None)
         close()
+        signals.close()
         self.log.always("stop", signal=self._stop, counters=self.counters.snapshot())
         return 0
 
--- a/kelpcourse/service/signals.py
+++ b/kelpcourse/service/signals.py
@@ -4,29 +4,37 @@
 
 import signal
 import socket
+from collections import deque
 from collections.abc import Callable
 
 from kelpcourse.wire.loop import READ, Routine, Wait
 
+CAUGHT = (signal.SIGTERM, signal.SIGINT, signal.SIGUSR1, signal.SIGHUP)
 
-def signal_routine(on_signal: Callable[[int], None]) -> Routine:
-    """Hands on SIGTERM, SIGINT, SIGUSR1 and SIGHUP when the loop is between two routines."""
-    ours, theirs = socket.socketpair()
-    ours.setblocking(False)
-    theirs.setblocking(False)
-    signal.set_wakeup_fd(theirs.fileno(), warn_on_full_buffer=False)
-    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGUSR1, signal.SIGHUP):
-        signal.signal(number, lambda *_: None)
-    return _read(ours, theirs, on_signal)
 
+class Signals:
+    """Caught from the making of this on, before anything else of a start: one that comes while the configuration
+    is read is heard once the loop runs, and does not end the process."""
 
-def _read(ours: socket.socket, theirs: socket.socket, on_signal: Callable[[int], None]) -> Routine:
-    try:
+    def __init__(self) -> None:
+        self._ours, self._theirs = socket.socketpair()
+        self._ours.setblocking(False)
+        self._theirs.setblocking(False)
+        self._waiting: deque[int] = deque()
+        signal.set_wakeup_fd(self._theirs.fileno(), warn_on_full_buffer=False)
+        for number in CAUGHT:
+            signal.signal(number, lambda *_: None)
+
+    def read(self, on_signal: Callable[[int], None]) -> Routine:
+        """Hands them on in order when the loop is between two routines. If one ends it by a defect, those that came
+        with it wait for the next reader."""
         while True:
-            yield Wait(fd=ours.fileno(), mask=READ)
-            for number in ours.recv(64):
-                on_signal(number)
-    finally:
+            while self._waiting:
+                on_signal(self._waiting.popleft())
+            yield Wait(fd=self._ours.fileno(), mask=READ)
+            self._waiting.extend(self._ours.recv(64))
+
+    def close(self) -> None:
         signal.set_wakeup_fd(-1)
-        ours.close()
-        theirs.close()
+        self._ours.close()
+        self._theirs.close()
--- a/kelpcourse/shared/steering.py
+++ b/kelpcourse/shared/steering.py
@@ -69,7 +69,7 @@
         self._waiting = Signal()
         self._discovery = Discovery(parts, around.discovery, 0)
         self._calls = Calls(parts, around.relay, self._outbox, self._waiting, self._target)
-        self._news = NewsReader(parts, around.relay, self._outbox, self._waiting,
+        self._news = NewsReader(parts, around.relay, self._outbox, self._calls.there,
                                 f"/v3/kv/groups/{gained.group}/events")
         self._tasks: list[Task] = []
         self._withdrawn: dict[str, int] = dict(gained.first)  # and since when (Unix ms)
--- a/kelpcourse/wire/discovery.py
+++ b/kelpcourse/wire/discovery.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 
+from kelpcourse.facade import Unknown
 from kelpcourse.memory.hosts import Member, Phase
 from kelpcourse.wire.fields import BadMessage, address, flag, json_object, number, text, whole
 from kelpcourse.wire.http import HttpClient, dial
@@ -13,6 +14,7 @@
 from kelpcourse.wire.stream import Act, Address, Broken
 
 HOSTS = "/discovery/hosts"
+TIME_MOST_MS = 1e15  # that the module's clock holds
 PHASES = {"ready": Phase.READY, "draining": Phase.DRAINING, "gone": Phase.GONE}
 
 
@@ -44,6 +46,8 @@
     if phase not in PHASES:
         raise BadMessage(f"field 'phase' has no such value: {phase!r:.60}")
     up_since_ms = number(entry, "up_since_ms") if entry.get("up_since_ms") is not None else 0.0
+    if up_since_ms >= TIME_MOST_MS:
+        raise BadMessage(f"field 'up_since_ms' is no time: {up_since_ms}")
     return Member(text(entry, "id"), address(text(entry, "host_port"), "host_port"), text(entry, "locality"),
                   text(entry, "flavor"), whole(entry, "cell"), PHASES[phase], number(entry, "size"),
                   up_since_ms)
@@ -54,6 +58,7 @@
 
     def __init__(self, address: Address) -> None:
         self.address = address
+        self.version = -1  # of what it told last: another watch or a fetch may have told more meanwhile
         self.task: Task | None = None
 
 
@@ -66,6 +71,7 @@
         self._spread = spread
         self._address = address
         self._version = version
+        self._older = 0  # whole lists in a row that are older than that
         self._watch: Watch | None = None
         self._former: Watch | None = None  # at the address before, until the watch has told anything
 
@@ -121,15 +127,23 @@
     def _until_lost(self, watch: Watch) -> Act[str]:
         try:
             yield from self._follow(watch)
-        except (Broken, BadMessage) as error:
+        except (Broken, BadMessage, Unknown) as error:
             return str(error)
+        except Exception:  # the module must not wait for a watch that is no more
+            self._watch = self._watch if self._watch is not watch else None
+            self._former = self._former if self._former is not watch else None
+            self._lost("watch", "a defect")
+            raise
         return "ended"
 
     def _run_fetch(self) -> Routine:
         try:
             yield from self._fetch_once()
-        except (Broken, BadMessage) as error:
+        except (Broken, BadMessage, Unknown) as error:
             self._lost("fetch", str(error))
+        except Exception:
+            self._lost("fetch", "a defect")
+            raise
 
     def _lost(self, call: str, reason: str) -> None:
         self._parts.counters.add("discovery_lost")
@@ -148,7 +162,7 @@
                     return
                 for line in lines:
                     if line:
-                        self._take(read_list(json_object(line), self._bad_entry))
+                        self._hear(watch, read_list(json_object(line), self._bad_entry))
                         told = True
                         if watch is self._watch:
                             self._end_former()
@@ -183,9 +197,24 @@
     def _bad_entry(self, error: BadMessage) -> None:
         self._parts.bad_message("discovery", error)
 
+    def _hear(self, watch: Watch, told: HostsList) -> None:
+        """Changes come in order on each watch. What a fetch or the other watch has told already is passed over."""
+        if told.version < watch.version and not told.whole:
+            raise BadMessage(f"changes of version {told.version} after {watch.version}")  # some are missing
+        first, watch.version = watch.version < 0, told.version
+        if told.whole or first or told.version >= self._version:
+            self._take(told)
+
     def _take(self, told: HostsList) -> None:
-        if told.version < self._version and not told.whole:
-            raise BadMessage(f"changes of version {told.version} after {self._version}")  # some are missing
+        """Who answers with less than is known is behind: hosts that drain would come back by its list. If nothing else
+        comes, discovery has started over, and all that it has is asked for."""
+        self._older = self._older + 1 if told.version < self._version else 0
+        if self._older:
+            known = self._version
+            if self._older >= self._parts.limits.older_most:
+                self._older = self._version = 0
+            if self._version or not told.whole:
+                raise BadMessage(f"a list of version {told.version} where {known} is known")
         self._version = told.version
         self._parts.counters.add("discovery_lists")
         self._parts.log.event("list", version=told.version, whole=told.whole, hosts=len(told.members))
--- a/kelpcourse/wire/listener.py
+++ b/kelpcourse/wire/listener.py
@@ -61,14 +61,17 @@
 
 
 class Listener:
-    def __init__(self, parts: Parts, address: Address) -> None:
+    def __init__(self, parts: Parts, address: Address, sock: socket.socket | None = None) -> None:
+        """`sock`: listens there already."""
+        self._sock = sock
         self._parts = parts
         self._address = address
         self._guests: dict[Guest, None] = {}
         self._spare = os.open(os.devnull, os.O_RDONLY)
 
     def run(self) -> Routine:
-        while (sock := self._listen()) is None:
+        sock, self._sock = self._sock, None  # started anew after a defect it is closed
+        while sock is None and (sock := self._listen()) is None:
             yield Wait(self._parts.clock() + self._parts.limits.bind_wait_us)
         self._parts.log.always("ready", listen=f"{self._address[0]}:{self._address[1]}")
         try:
--- a/kelpcourse/wire/loop.py
+++ b/kelpcourse/wire/loop.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import heapq
 import select
 from collections.abc import Callable, Generator
@@ -96,7 +97,7 @@
         """Ends a routine where it waits; its `finally` parts run. A routine may not stop itself."""
         if self._tasks.pop(task, self) is not self:
             self._forget(task)
-            task.routine.close()
+            self._end(task)
 
     def close(self) -> None:
         for task in list(self._tasks):
@@ -119,7 +120,11 @@
             if task.wait is not None and task.wait.signal:  # it may have been lowered again since
                 woken[task] = Woken.SIGNALLED
         for fd, _ in self._poll.poll(0 if woken else self._seconds_to(until_us)):
-            woken.setdefault(self._by_fd[fd], Woken.READY)
+            waits = self._by_fd.get(fd)
+            if waits is None:  # closed while a copy of it stays open: nobody waits for it any more
+                self._unregister(fd)
+            else:
+                woken.setdefault(waits, Woken.READY)
         now = self.clock()
         while self._times and self._times[0][0] <= now:
             _, _, wait, task = heapq.heappop(self._times)
@@ -155,11 +160,10 @@
             self._tasks.pop(task, None)
             self._on_defect(task.name, error)
             return
+        if wait.fd >= 0 and not self._register(task, wait):
+            return
         task.wait = wait
         task.waits += 1
-        if wait.fd >= 0:
-            self._by_fd[wait.fd] = task
-            self._poll.register(wait.fd, wait.mask)
         if wait.signal is not None:
             wait.signal.await_(task, self)
         if wait.until_us is not None:
@@ -169,6 +173,30 @@
             if len(self._times) > 2 * self._timed + SWEEP_LEAST:
                 self._sweep()
 
+    def _register(self, task: Task, wait: Wait) -> bool:
+        """A descriptor that was closed meanwhile, or that another routine waits for, ends the routine: it can never
+        be told that it is ready. One that was closed and used anew belongs to whoever waits for it last."""
+        try:
+            self._poll.register(wait.fd, wait.mask)
+        except (OSError, ValueError) as error:
+            self._tasks.pop(task, None)
+            self._on_defect(task.name, error)
+            self._end(task)
+            return False
+        self._by_fd[wait.fd] = task
+        return True
+
+    def _unregister(self, fd: int) -> None:
+        with contextlib.suppress(OSError, ValueError):  # closed while it was waited for: the system forgot it
+            self._poll.unregister(fd)
+
+    def _end(self, task: Task) -> None:
+        """Runs the `finally` parts of a routine that is over."""
+        try:
+            task.routine.close()
+        except Exception as error:
+            self._on_defect(task.name, error)
+
     def _sweep(self) -> None:
         """Takes out the times of waits that ended early: a busy connection with a distant limit leaves one
         behind with every message."""
@@ -179,9 +207,9 @@
         wait, task.wait = task.wait, None
         if wait is None:
             return
-        if wait.fd >= 0:
+        if wait.fd >= 0 and self._by_fd.get(wait.fd) is task:
             del self._by_fd[wait.fd]
-            self._poll.unregister(wait.fd)
+            self._unregister(wait.fd)
         if wait.signal is not None:
             wait.signal.forget(task)
         if wait.until_us is not None:
--- a/kelpcourse/wire/probes.py
+++ b/kelpcourse/wire/probes.py
@@ -51,11 +51,17 @@
             self._parts.loop.start("probe", self._run(host, address))
 
     def _run(self, host: str, address: Address) -> Routine:
+        """A probe that ends by a defect is answered too, and the next one has its turn: the module awaits both."""
         began_us = self._parts.clock()
         try:
             outcome, load = yield from self._ask(address, began_us + self._parts.limits.probe_us)
-        finally:
-            self._running -= 1
+        except Exception:
+            self._end(host, "error", began_us, ())
+            raise
+        self._end(host, outcome, began_us, load)
+
+    def _end(self, host: str, outcome: str, began_us: int, load: Load) -> None:
+        self._running -= 1
         self._answer(host, outcome, self._parts.clock() - began_us, load)
         self._start_next()
 
--- a/kelpcourse/wire/relay.py
+++ b/kelpcourse/wire/relay.py
@@ -128,20 +128,23 @@
         self._invalid = 0  # answers in a row that took a call for none
         self._doubted: Order | None = None  # refused once, which a spoilt answer may have made up
         self._backoff = Backoff(parts.limits)
+        self.there = Signal()  # raised when the relay is known to be there: orders need not wait for their next try
 
     def move(self, address: Address) -> None:
         """Calls go to another address from now on; the one under way is settled where it is."""
         self._address = address
         self._backoff.reset()
         self._waiting.raise_()
+        self.there.raise_()
 
     def run(self) -> Routine:
         try:
             while True:
                 yield from self._idle()
                 wait_us = yield from self._try_call()
-                if wait_us:  # less if news tells that the relay is there again
-                    yield Wait(self._parts.clock() + wait_us, signal=self._waiting)
+                if wait_us:  # orders that come meanwhile don't shorten it: a relay that is down is not asked by each
+                    self.there.lower()
+                    yield Wait(self._parts.clock() + wait_us, signal=self.there)
         finally:
             self._close()
 
@@ -283,11 +286,12 @@
     """Keeps streams of news open and reports what they tell. Streams tell the same: while one breaks and is
     opened again, another goes on, and no proxy can leave and come back unseen."""
 
-    def __init__(self, parts: Parts, address: Address, outbox: Outbox, waiting: Signal, target: str = EVENTS) -> None:
+    def __init__(self, parts: Parts, address: Address, outbox: Outbox, there: Signal, target: str = EVENTS) -> None:
+        """`there`: raised when a stream opens."""
         self._parts = parts
         self._address = address
         self._outbox = outbox
-        self._waiting = waiting
+        self._there = there
         self._target = target
         self._proxies = Proxies(parts.limits.news_ahead, parts.limits.news_cover_us)
         self._first = 0  # stream at the address of now; those before it are on their way out
@@ -331,7 +335,7 @@
             self._proxies.opened(stream, now_us, now_us + limits.news_settle_us)
             self._parts.counters.add("relay_news_streams")
             self._parts.log.event("news_open", stream=stream)
-            self._waiting.raise_()  # the relay is there: orders that wait need not wait for their next try
+            self._there.raise_()
             heard_us = self._parts.clock()
             while True:
                 lines = yield from client.some_lines(heard_us + limits.news_silence_us)
--- a/tests/test_listener.py
+++ b/tests/test_listener.py
@@ -11,6 +11,7 @@
 import pytest
 
 from kelpcourse.interface import DemandReport, HostReport
+from kelpcourse.service.director import bound
 from kelpcourse.wire.listener import Listener
 from tests.standins import HASTY, MS, QUICK, Bench, member
 
@@ -379,6 +380,28 @@
     front.bench.until(front.reports)
 
 
+def test_whoever_comes_before_the_loop_runs_is_served(bench: Bench) -> None:
+    """The address was tried out and closed again: who connected in between was taken by the system and reset."""
+    front = Front(bench)
+    bench.loop.stop(front.task)
+    sock = bound(front.address)
+    assert sock is not None
+    early = front.connect()
+    early.sendall(b"ping\r\n")
+    bench.loop.start("listener", Listener(bench.parts, front.address, sock).run())
+    bench.until(lambda: heard_back(early) == b"pong\r\n")
+    front.close()
+
+
+def test_one_shed_has_what_it_said_taken_first(front: Front) -> None:
+    """A whole line that was read counts, whatever becomes of the connection in the same round."""
+    peer = front.collector()
+    peer.sendall(HEARD)
+    peer.close()
+    front.bench.until(lambda: front.reports())
+    assert len(front.reports()) == 1
+
+
 def test_an_address_still_in_use_passes(bench: Bench) -> None:
     before = socket.create_server(("127.0.0.1", 0))
     address = before.getsockname()
--- a/tests/test_loop.py
+++ b/tests/test_loop.py
@@ -203,3 +203,106 @@
         pair[1].send(b"x")
         rig.loop.turn(rig.clock.now)
     assert len(rig.loop._times) < 100
+
+
+# Descriptors that are closed, used anew or waited for twice within one round
+
+
+def test_a_descriptor_closed_before_it_is_waited_for_ends_that_routine_alone(pair: Pair) -> None:
+    rig = Rig()
+    fd = pair[0].fileno()
+    pair[0].close()
+    rig.loop.start("closed", rig.waits(Wait(fd=fd, mask=READ)))
+    rig.loop.start("other", rig.waits(Wait(rig.clock.now)))
+    rig.loop.turn(rig.clock.now)
+    assert [name for name, _ in rig.defects] == ["closed"]
+    assert rig.told == [Woken.LATE]
+    assert len(rig.loop) == 0
+
+
+def test_a_descriptor_waited_for_twice_stays_with_the_first(pair: Pair) -> None:
+    rig, cleaned = Rig(), []
+
+    def second() -> Routine:
+        try:
+            yield Wait(fd=pair[0].fileno(), mask=READ)
+        finally:
+            cleaned.append(True)
+    rig.loop.start("first", rig.waits(Wait(fd=pair[0].fileno(), mask=READ)))
+    rig.loop.start("second", second())
+    assert [name for name, _ in rig.defects] == ["second"]
+    assert cleaned == [True]
+    pair[1].send(b"x")
+    rig.loop.turn(rig.clock.now)
+    assert rig.told == [Woken.READY]
+
+
+def test_a_descriptor_closed_while_it_is_waited_for_does_not_end_the_loop(pair: Pair) -> None:
+    rig = Rig()
+    task = rig.loop.start("closed", rig.waits(Wait(rig.clock.now + 5, pair[0].fileno(), READ)))
+    pair[0].close()
+    rig.loop.turn(rig.clock.now)
+    rig.clock.now += 5
+    rig.loop.turn(rig.clock.now)
+    assert rig.told == [Woken.LATE]
+    rig.loop.stop(task)
+    assert rig.defects == []
+
+
+def test_a_descriptor_used_anew_belongs_to_whoever_waits_for_it_last(pair: Pair) -> None:
+    """The end of the wait before took the new one's registration along: it was never woken again."""
+    rig = Rig()
+    old = rig.loop.start("old", rig.waits(Wait(rig.clock.now + 5, pair[0].fileno(), READ)))
+    fd = pair[0].fileno()
+    pair[0].close()
+    ours, theirs = socket.socketpair()
+    with ours, theirs:
+        if ours.fileno() != fd:  # the lowest free number, which is that one
+            raise AssertionError(f"{ours.fileno()} in place of {fd}")
+        rig.loop.start("new", rig.waits(Wait(fd=fd, mask=READ)))
+        rig.loop.stop(old)
+        theirs.send(b"x")
+        rig.loop.turn(rig.clock.now)
+        assert rig.told == [Woken.READY]
+        assert rig.defects == []
+
+
+def test_a_copy_of_a_closed_descriptor_that_stays_ready_does_not_end_the_loop(pair: Pair) -> None:
+    """The system goes on telling of it as long as a copy is open, and nobody waits for it."""
+    rig = Rig()
+    copy = pair[0].dup()
+    task = rig.loop.start("closed", rig.waits(Wait(fd=pair[0].fileno(), mask=READ)))
+    pair[0].close()
+    rig.loop.stop(task)
+    pair[1].send(b"x")
+    rig.loop.turn(rig.clock.now)
+    rig.loop.turn(rig.clock.now)
+    copy.close()
+    assert rig.told == []
+
+
+def test_a_routine_stopped_in_the_round_in_which_it_became_ready_does_not_go_on(pair: Pair) -> None:
+    rig = Rig()
+    tasks: dict[str, Task] = {}
+
+    def stops(other: str) -> Routine:
+        yield Wait(rig.clock.now)
+        rig.loop.stop(tasks[other])
+        rig.told.append("stopped it")
+    tasks["a"] = rig.loop.start("a", stops("b"))
+    tasks["b"] = rig.loop.start("b", stops("a"))
+    rig.loop.turn(rig.clock.now)
+    assert rig.told == ["stopped it"]
+    assert len(rig.loop) == 0
+
+
+def test_a_defect_in_the_end_of_a_stopped_routine_is_not_its_stoppers() -> None:
+    rig = Rig()
+
+    def spoilt() -> Routine:
+        try:
+            yield Wait()
+        finally:
+            raise KeyError("its end")
+    rig.loop.stop(rig.loop.start("spoilt", spoilt()))
+    assert [name for name, _ in rig.defects] == ["spoilt"]
--- a/tests/test_probes.py
+++ b/tests/test_probes.py
@@ -80,5 +80,18 @@
     assert host.connections == 5
 
 
+def test_a_probe_that_ends_by_a_defect_is_answered_and_the_next_has_its_turn(bench: Bench) -> None:
+    """The module awaits an answer to each, and those that waited behind it were never made."""
+    bench.parts = replace(bench.parts, limits=replace(QUICK, probes_at_once=1))
+    host = StandIn(bench.loop, answering(200, b""))
+    probes = Probes(bench.parts)
+    probes.probe("h1", ("127.0.0.1", 99_999))
+    probes.probe("h1", host.address)
+    bench.until(lambda: len(answers(bench)) == 2)
+    assert [a.status for a in answers(bench)] == [ProbeStatus.ERROR, ProbeStatus.OK]
+    assert [type(error) for error in bench.defects] == [OverflowError]
+    bench.defects.clear()
+
+
 def test_a_load_report_that_is_none_is_empty() -> None:
     assert read_load(memoryview(b"")) == ()
