Keep a fifth of the messages to a proxy for withdrawals while hosts restart

Seen in the count of tests/massworld.py: 60 of 200 hosts restart at once; the falls of their weights went out as each line found room, a message at a time, and all twelve that a proxy may be written within 10 s were gone in one second. Hosts that drained then were not withdrawn for 8 s ("proxy 0 may send to 1060"). At fault: _publish, where urgent lines went as long as any message was left. Ruled out: the channel's room (queued 5,488 of 5,800 at the time, 0 unanswered 2 s later).

Urgent lines now leave a fifth, as ordinary ones leave two. The reason is the protocol's cap, which withdrawals share; nothing else moves. Fails without it: test_hosts_that_restart_leave_messages_for_a_withdrawal.

--- a/kelpcourse/channel.py
+++ b/kelpcourse/channel.py
@@ -18,8 +18,7 @@
 
 
 class Channel:
-    """Messages leave the channel in order: what was ordered waits until all before it is answered, or for as
-    long as a full channel takes. After a broken stream later ones may be answered first, and still wait."""
+    """Messages leave in order: what was ordered waits for answers to all before, or a full channel's time."""
 
     def __init__(self, longest_us: int, pace: float, most: int = 0, in_us: int = 0, lag_us: int = 0) -> None:
         self._longest_us, self._lines_per_us, self._due_us = longest_us, pace, 0
--- a/kelpcourse/decide.py
+++ b/kelpcourse/decide.py
@@ -5,6 +5,7 @@
 from bisect import bisect_left
 from collections import Counter, deque
 from collections.abc import Sequence
+from functools import partial
 
 from kelpcourse.channel import Channel
 from kelpcourse.interface import (
@@ -27,7 +28,7 @@
 DISTINCT_US, LEFT_LEAST, LINE_STEP = 5_000_000, 0.1, 0.08  # repeats learned in; beside own classes; no line
 HOLD_US, ADOPT_TRIES, MASS = 6_000_000, 12.0, 15  # tables of before: kept, told by tries a host, if many join
 FORGET_US, ASK_FIRST_US, ORDERS_MOST = 30_000_000, 500_000, 700  # gone for good; asking; in 60,000 bytes
-QUEUE_ORDINARY, QUEUE_BIND, QUEUE_MOST = 0.5, 0.6, 0.95  # of the channel, up to all
+QUEUE_ORDINARY, QUEUE_BIND, QUEUE_MOST, MESSAGES_URGENT = 0.5, 0.6, 0.95, 0.8  # of the channel; messages
 BIND_GRACE, BIND_LEAST_US = 0.25, 1_000_000  # of a drain's grace for bindings; at least
 MESSAGES_ORDINARY, TABLE_PART, TABLE_LEAST, COVER = 0.6, 0.5, 12.0, 2.0  # messages; connections; lines; of
 GOLDEN, FIT, FIT_ROUNDS = 0.6180339887498949, (0.1, 4.0), 8  # even on a ring; how far a line is fitted
@@ -489,9 +490,9 @@
         self._withdraw_dropped()
         due = self.now - self.lines_us >= PACE_US or any(  # an overload is answered at once: drains delay it
             self.levels[i] < level - LEVEL_FALL for (_, i), level in self.levels_sent.items())
-        if self.loose_hosts or (self.urgent and self._room(QUEUE_MOST) > 0) or (
-                due and self.proxies and self._room(QUEUE_ORDINARY) > 0
-                and self.channel.few(MESSAGES_ORDINARY, self.now)):
+        few, room = partial(self.channel.few, now_us=self.now), self._room
+        if self.loose_hosts or (self.urgent and room(QUEUE_MOST) > 0 and few(MESSAGES_URGENT)) or (
+                due and self.proxies and room(QUEUE_ORDINARY) > 0 and few(MESSAGES_ORDINARY)):
             self._send_levels()
             self.urgent, self.lines_us = self._send_lines(), self.now
         lines = Counter[ProxyId]()  # to who was bound when they were ordered: a binding restates them
--- a/tests/test_withdrawals.py
+++ b/tests/test_withdrawals.py
@@ -103,3 +103,20 @@
 def test_the_count_finds_lines_left_in_the_tables() -> None:
     with pytest.raises(Broken):
         release(TellsAnewFirst)
+
+
+def test_hosts_that_restart_leave_messages_for_a_withdrawal() -> None:
+    """Falls of cold hosts went out as each line found room, a message at a time: all twelve that a proxy may be written
+    within 10 s were gone in one, and hosts that drained then were not withdrawn for 8 s."""
+    day = ModuleDay(Director, ROLL, HOSTS)
+    day.step(full(HOSTS))
+    day.join(range(76), lambda _: numbers(0, 5), 0.5, fresh=True)
+    day.run(10)
+    day.step(*(ProxyJoined(p, "east", 2.0, False) for p in range(76)))
+    day.run(0.5)
+    day.step(changes([replace(h, started_us=day.now) for h in HOSTS[:60]], 2))
+    for version, first in enumerate((60, 70), 3):
+        day.run(1.5)
+        day.step(changes(day.drain(numbers(first, 10), version), version))
+    day.run(12)
+    assert not day.director.dropped
