Let lines wait as long as what is ahead of them in the channel is still being answered

Log of n4: step 23 ordered at 12.26 s, answered from 14.72 to 15.48 s, lag 2.3 to 3.0 s; at 14.67 s the books held it no longer ("queued=3244" with 1,020 just ordered), bindings followed. A full channel takes 2.38 s by the settings, and after that a step counted as if an answer were missing; the channel ran slower than they say. Ruled out: that hosts told anew cost bound proxies lines (step 24, 80 of them alone, was answered by exactly the 28 proxies not bound). At fault: Channel.waiting, which measured from the order alone.

The time runs from the last answer to what is ahead of a step or to itself. A missing answer still holds nothing up for good: once nothing ahead is answered any more, it is let go a full channel's time later.

--- a/kelpcourse/channel.py
+++ b/kelpcourse/channel.py
@@ -14,7 +14,7 @@
         self.number, self.at_us = number, at_us  # of its checkpoint; when its messages were written
         self.due_us = due_us  # when it is through at the channel's pace, or later
         self.lines = self.unanswered = lines  # that its orders put into the channel; those not answered
-        self.others, self.unsure = others, others > 0  # to those that may not answer; its turn is by pace
+        self.others, self.unsure, self.heard_us = others, others > 0, 0  # to those that may not answer
 
 
 class Channel:
@@ -25,7 +25,7 @@
         self._steps: deque[Step] = deque()
         self._of: dict[ProxyId, deque[tuple[Step, float]]] = {}  # unanswered, oldest first
         self._unseen: list[tuple[int, float]] = []  # until when lines count
-        self._told_us = 0  # when the last was ordered of which an answer came
+        self._told_us = self._heard_us = 0  # when what was answered last was ordered; heard
         self._most, self._over_us = most, in_us  # messages to a proxy, and in which time
         self._transit_us, self.doubted = lag_us, tuple[int, ...]()  # steps of a call that broke
         self._written: dict[ProxyId | None, deque[Step]] = {}  # the last of them
@@ -49,22 +49,20 @@
         return not (next(many, False) and any(many))  # the first is of messages to any
 
     def taken(self, number: int, now_us: int) -> None:
-        """Times run from here: a large step is under way for longer than a small one, or had to wait."""
         for step in (*self._steps, *self._written.get(None, ())):
-            if step.number == number:
+            if step.number == number:  # times run from here: it may have had to wait
                 step.due_us, step.at_us = step.due_us + now_us - step.at_us, now_us
         self.doubted = self.doubted if number not in self.doubted else ()
 
-    def applied(self, proxy: ProxyId, number: int) -> None:
+    def applied(self, proxy: ProxyId, number: int, now_us: int = 0) -> None:
         """A proxy's messages arrive in order: this one and all before it are through. Numbers start over."""
         numbers = [step.number for step, _ in self._of.get(proxy, ())]
         for _ in range(numbers.index(number) + 1 if number in numbers else 0):
             step, cost = self._of[proxy].popleft()
-            step.unanswered -= cost
+            step.unanswered, step.heard_us = step.unanswered - cost, now_us
             self._told_us = max(self._told_us, step.at_us)
 
     def left(self, proxy: ProxyId, heard: bool = True) -> None:
-        """With its stream what waited for it is gone, but its turn is not: what is behind still waits."""
         self._written.pop(proxy if heard else -1, None)  # messages count from its joining
         for step, cost in self._of.pop(proxy, ()):
             step.unanswered, step.lines, step.unsure = step.unanswered - cost, step.lines - cost, True
@@ -95,12 +93,14 @@
 
     def waiting(self, now_us: int) -> float:
         self._unseen = [(until_us, n) for until_us, n in self._unseen if until_us >= now_us and n]
-        total, kept, behind = sum(lines for _, lines in self._unseen), deque[Step](), False
+        total, kept, behind, heard_us = sum(n for _, n in self._unseen), deque[Step](), False, self._heard_us
         for step in self._steps:
-            unanswered = step.unanswered > 0 and now_us - step.at_us < self._longest_us
+            heard_us = max(heard_us, step.heard_us)  # while what is ahead is answered, its turn is to come
+            unanswered = step.unanswered > 0 and now_us - max(step.at_us, heard_us) < self._longest_us
             held = unanswered or (step.unsure and now_us < step.due_us)
             lost = self._told_us - step.at_us >= self._longest_us <= (now_us - step.at_us) // 2
             if lost or not (behind or held or step.unanswered):  # lost: much later ones are answered
+                self._heard_us = self._heard_us if kept else heard_us
                 continue
             told = 1.0 if behind else step.unanswered / max(1.0, step.lines) if unanswered else 0.0
             pace = (step.due_us - now_us) * self._lines_per_us / max(1.0, step.lines + step.others)
--- a/kelpcourse/decide.py
+++ b/kelpcourse/decide.py
@@ -144,7 +144,7 @@
                 self._let_go(proxy)
                 self.channel.left(proxy)
             case OrdersApplied(proxy, number, _):
-                self.channel.applied(proxy, number)
+                self.channel.applied(proxy, number, self.now)
             case OrdersTaken(number):
                 self.channel.taken(number, self.now)
             case OrdersDoubted(numbers):
--- a/tests/massworld.py
+++ b/tests/massworld.py
@@ -72,6 +72,12 @@
         self.channel = deque(m for m in self.channel if m.proxy != proxy)
         self.under_way = deque((at, m) for at, m in self.under_way if m.proxy != proxy)
 
+    def stand_still(self, now_us: int, span_us: int) -> None:
+        """The channel sends nothing for a while; what waits, and what is ordered meanwhile, leaves so much later."""
+        self.ends_us = max(now_us, self.ends_us) + span_us
+        for message in self.channel:
+            message.ends_us += span_us
+
     def withdraw(self, now_us: int, hosts: Iterable[Host]) -> None:
         """The director is told."""
         self.told_us |= dict.fromkeys(hosts, now_us)
--- a/tests/test_channel.py
+++ b/tests/test_channel.py
@@ -335,3 +335,14 @@
             channel.applied(1, number - 2)
     channel.applied(1, 9)
     assert channel.waiting(10 * SECOND) == 0
+
+
+def test_lines_wait_for_as_long_as_what_is_ahead_of_them_is_still_being_answered() -> None:
+    """A channel at a third of its pace: answers to what was ordered before came in all the while."""
+    channel = booked({1: 10.0, 2: 10.0})
+    channel.sent(2, 0, {3: 20.0}, 50.0)
+    channel.applied(1, 1, LONGEST - 1)
+    assert channel.waiting(LONGEST) == 80
+    channel.applied(2, 1, LONGEST + SECOND)
+    assert channel.waiting(2 * LONGEST) == 70
+    assert channel.waiting(2 * LONGEST + SECOND) == 20  # an answer that never comes holds nothing up for good
--- a/tests/test_withdrawals.py
+++ b/tests/test_withdrawals.py
@@ -120,3 +120,19 @@
         day.step(changes(day.drain(numbers(first, 10), version), version))
     day.run(12)
     assert not day.director.dropped
+
+
+def test_a_channel_that_stands_still_is_not_taken_for_empty() -> None:
+    """On roll 54 answers to a step came 2.4 to 3 s late. A full channel takes 2.38 s: after that its lines stood in the
+    way of nothing any more, and 6,237 waited where 5,800 may. The rules' times grow with such a channel's."""
+    day = ModuleDay(Director, replace(ROLL, drain_grace_us=3 * ROLL.drain_grace_us), HOSTS)
+    day.step(full(HOSTS))
+    day.join(range(2), lambda _: numbers(0, 5), 0.5, fresh=True)
+    day.run(8)
+    day.step(changes(day.drain(numbers(0, 40), 2), 2))
+    day.run(1)
+    day.world.stand_still(day.now, 3_000_000)
+    day.join(range(2, 33), lambda _: numbers(0, 200), 0.6)
+    day.step(changes(day.drain(numbers(40, 20), 3), 3))
+    day.join(range(33, 60), lambda _: numbers(0, 200), 1.5)
+    day.run(4)
