--- a/kelpcourse/decide.py
+++ b/kelpcourse/decide.py
@@ -394,7 +394,7 @@
     def _warmth(self, server: Server) -> float:
         """Least share of its capacity that a host started lately can have by now."""
         age = self.now - server.host.started_us
-        cold = server.host.started_us > 0 and age < self.s.cold_us
+        cold = server.host.started_us > 0 and age < self.s.cold_us > 0
         return self.s.cold_from + (1 - self.s.cold_from) * max(0, age) / self.s.cold_us if cold else 1.0
 
     def _weights(self, key: Key) -> dict[HostId, float]:
@@ -504,11 +504,11 @@
     def _withdraw_dropped(self) -> None:
         """Rule 3: all at once, as heads cost more than hosts; what takes long waits, and gathers."""
         fresh, room = list(self.dropped), self._room(QUEUE_MOST)
-        while (cost := self._withdrawal(fresh)) > room + self.queued:  # more than an empty channel takes
+        while (cost := self._withdrawal(fresh)) > room + self.queued and fresh[1:]:  # than an empty one takes
             fresh = fresh[:len(fresh) // 2]
         soon = self.now - min(self.dropped.values(), default=0) < BIND_GRACE * self.s.drain_grace_us
         long = cost > self.spans[QUEUE_BIND] and (self._room(QUEUE_BIND) < 0 or self._mass())
-        for host in fresh if cost <= room and not (long and soon) else []:
+        for host in fresh if (cost <= room or not self.queued) and not (long and soon) else []:
             self._order_host(host, True)
             del self.dropped[host]
             self.out_hosts[host] = self.now
--- a/kelpcourse/limits.py
+++ b/kelpcourse/limits.py
@@ -127,7 +127,9 @@
                        probes_at_once=min(self.probes_at_once, max(1, sockets // 16)),
                        held_bytes=min(self.held_bytes, (memory_mb << 20) // 4))
 
-    def serving(self, proxies: int) -> Limits:
+    def serving(self, proxies: int, report_period_us: int = 0) -> Limits:
         """These limits for a fleet of so many proxies, all of which may come to this director: each may be bound,
         told of as joined, left and applied, and bring its group a table, before any of it is taken."""
-        return replace(self, news_ahead=max(self.news_ahead, 4 * proxies), orders=max(self.orders, 8 * proxies))
+        patience_us = 4 * report_period_us  # reports are late, and one may be lost
+        return replace(self, news_ahead=max(self.news_ahead, 4 * proxies), orders=max(self.orders, 8 * proxies),
+                       window_us=max(self.window_us, patience_us), collector_us=max(self.collector_us, patience_us))
--- a/kelpcourse/service/config.py
+++ b/kelpcourse/service/config.py
@@ -91,11 +91,22 @@
         settings = read_settings(Fields.of_nested(_object(root, "settings")))
     except WireError as error:
         raise BadConfig(f"settings: {error}") from None
+    _check_names(root["settings"])
     if settings.slices:
         raise BadConfig("settings: field 'family_info.partitions_n': slices are not served here")
     return settings
 
 
+def _check_names(value: object, path: str = "settings") -> None:
+    """Settings are read as the simulator's wire tells them, which has `_` for both: zones and classes would come to
+    have names here that nobody else knows."""
+    if isinstance(value, str) and (" " in value or "," in value):
+        raise BadConfig(f"field '{path}' holds a space or a comma: {value!r:.60}")
+    pairs = value.items() if isinstance(value, dict) else enumerate(value) if isinstance(value, list) else ()
+    for name, item in pairs:
+        _check_names(item, f"{path}.{name}")
+
+
 def _object(root: Mapping[str, object], name: str) -> Mapping[str, object]:
     value = root.get(name)
     if not isinstance(value, dict):
--- a/kelpcourse/service/director.py
+++ b/kelpcourse/service/director.py
@@ -204,7 +204,8 @@
         return BAD_CONFIG
     os.set_blocking(sys.stdout.fileno(), False)
     granted = resource.getrlimit(resource.RLIMIT_NOFILE)[0]
-    limits = Limits().within(min(config.sockets, granted), config.memory_mb).serving(config.settings.proxies)
+    limits = Limits().within(min(config.sockets, granted), config.memory_mb)
+    limits = limits.serving(config.settings.proxies, config.settings.report_period_us)
     return Service(config, limits, environment, signals, sock, make_source).run()
 
 
--- a/kelpcourse/settings.py
+++ b/kelpcourse/settings.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 from kelpcourse.interface import Admission, Effect, RequestClass, Retry, Scope, Settings
 from kelpcourse.fields import Fields, WireError
 
@@ -41,7 +43,47 @@
     )
 
 
+Figure = Callable[[Settings], float]
+ABOVE_0: dict[str, Figure] = {  # without these nothing could ever be ordered
+    "family_info.proxy_count": lambda s: s.proxies, "family_info.egress_per_s": lambda s: s.channel_lines_per_s,
+    "family_info.pending_max": lambda s: s.channel_backlog, "zones": lambda s: len(s.zones),
+    "lanes.count": lambda s: len(s.classes),
+}
+FROM_0: dict[str, Figure] = {
+    "family_info.head": lambda s: s.message_head, "family_info.conns_least": lambda s: s.connections_least,
+    "invariants.cold_from": lambda s: s.cold_from,
+}
+
+
 def read_settings(fields: Fields) -> Settings:
+    """Raises WireError for what can't be served, by the field's name."""
+    settings = _read(fields)
+    if not settings.slices:  # of a site with slices nothing is served here
+        _check(settings)
+    return settings
+
+
+def _check(settings: Settings) -> None:
+    for name, value in ABOVE_0.items():
+        if not value(settings) > 0:
+            raise WireError(f"field '{name}' is not above 0")
+    for name, value in FROM_0.items():
+        if value(settings) < 0:
+            raise WireError(f"field '{name}' is below 0")
+    if settings.cold_from > 1:
+        raise WireError("field 'invariants.cold_from' is above 1")
+    if settings.messages_most and not settings.messages_over_us:
+        raise WireError("field 'family_info.messages_over_us' is not above 0 beside 'family_info.messages_most'")
+    for at, cls in enumerate(settings.classes):
+        if cls.aim_us == 0:
+            raise WireError(f"field 'lanes.{at}.aim_us' is not above 0")
+        if cls.worth < 0:
+            raise WireError(f"field 'lanes.{at}.worth' is below 0")
+        if cls.name in [other.name for other in settings.classes[:at]]:
+            raise WireError(f"field 'lanes.{at}.name' stands twice: '{cls.name}'")
+
+
+def _read(fields: Fields) -> Settings:
     family = fields.under("family_info")
     bounds = fields.under("bounds")
     rules = fields.under("invariants")
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import copy
+from dataclasses import replace
 from pathlib import Path
 from typing import Any
 
@@ -11,7 +12,8 @@
 
 from kelpcourse.facade import Facade, Unknown
 from kelpcourse.fields import Fields
-from kelpcourse.memory.orders import UseTable
+from kelpcourse.memory.hosts import Phase
+from kelpcourse.memory.orders import Mark, Order, ShutOut, UseTable
 from kelpcourse.memory.outbox import Outbox
 from kelpcourse.service.config import BadConfig, read_config
 from kelpcourse.limits import Limits
@@ -102,6 +104,13 @@
     (changed("limits.sockets", "many"), "limits.sockets"),
     (changed("limits.memory_mb", 0), "limits.memory_mb"),
     ([1], "NODE_CONFIG"),
+    *[(changed(f"settings.{path}", value), path) for path, value in [
+        ("family_info.proxy_count", 0), ("family_info.egress_per_s", 0), ("family_info.egress_per_s", -1.0),
+        ("family_info.pending_max", 0.0), ("family_info.head", -1.0), ("family_info.conns_least", -3.0),
+        ("family_info.messages_over_us", 0), ("invariants.cold_from", -0.1), ("invariants.cold_from", 1.1),
+        ("lanes.0.aim_us", 0), ("lanes.1.worth", -1.0), ("lanes.1.name", "board-read"), ("lanes.0.name", "board read"),
+        ("zones", []), ("zones", ["room-a", "room b"]), ("lanes.1.only_zones", ["room,a"])]],
+    (changed("settings.lanes", []), "lanes.count"),
 ])
 def test_a_mistake_names_its_field(tmp_path: Path, root: object, field: str) -> None:
     with pytest.raises(BadConfig, match=field.replace(".", r"\.")) as told:
@@ -154,3 +163,73 @@
     assert small.held_bytes == 4 << 20
     large = Limits().within(1 << 20, 1 << 20)
     assert (large.connections, large.held_bytes) == (Limits().connections, Limits().held_bytes)
+
+
+CUSTOMERS: dict[str, dict[str, object]] = {
+    "as it is": {},
+    "one zone": {"zones": ["room-a"]},
+    "nine zones": {"zones": [f"z{k}" for k in range(8)] + ["room-a"]},
+    "one class": {"lanes": SETTINGS["lanes"][:1], "family_info.zone_bound": [False],
+                  "family_info.class_writes": [False]},
+    "twelve classes": {"lanes": [{**SETTINGS["lanes"][k % 2], "name": f"c{k}"} for k in range(12)],
+                       "family_info.zone_bound": [False] * 12, "family_info.class_writes": [False] * 12},
+    "no flags of classes": {"family_info.zone_bound": [], "family_info.class_writes": []},
+    "all bound to zones": {"family_info.zone_bound": [True, True]},
+    "classes worth nothing": {"lanes.0.worth": 0, "lanes.1.worth": 0},
+    "a class in a zone without hosts": {"lanes.1.only_zones": ["nowhere"]},
+    "no messages told": {"family_info.messages_most": 0, "family_info.messages_over_us": 0},
+    "one message": {"family_info.messages_most": 1},
+    "no head": {"family_info.head": 0},
+    "no grace": {"invariants.stop_sending_within_us": 0},
+    "a grace of minutes": {"invariants.stop_sending_within_us": 300_000_000},
+    "never cold": {"invariants.cold_us": 0, "invariants.cold_from": 0},
+    "cold for ten minutes": {"invariants.cold_us": 600_000_000},
+    "reports every 0.1 s": {"family_info.period_us": 100_000},
+    "reports at any time": {"family_info.period_us": 0},
+    "reports every two minutes": {"family_info.period_us": 120_000_000},
+    "aims of a millisecond": {"lanes.0.aim_us": 1_000, "lanes.1.aim_us": 1_000, "lanes.0.hard_limit_us": 2_000},
+    "aims of minutes": {"lanes.0.aim_us": 300_000_000, "lanes.1.aim_us": 300_000_000},
+    "rates for levels": {"family_info.admission": "per_second"},
+    "no levels": {"family_info.admission": "off"},
+    "a list that comes by itself": {"discovery": "pushed", "invariants.ask_within_us": 0},
+    "one connection a host": {"family_info.conns_least": 1.0},
+    "a tiny channel": {"family_info.pending_max": 1.0, "family_info.egress_per_s": 1.0},
+    "no transit": {"family_info.propagation_us": 0, "family_info.transit_max_us": 0},
+    "one proxy": {"family_info.proxy_count": 1},
+}
+
+
+@pytest.mark.parametrize("name", CUSTOMERS)
+def test_settings_of_any_customer_are_served(tmp_path: Path, name: str) -> None:
+    """Proxies are bound, reports taken in, an overload met and a host withdrawn; no step ends by an error."""
+    root = copy.deepcopy(ROOT)
+    for path, value in CUSTOMERS[name].items():
+        *folders, last = path.split(".")
+        place: Any = root["settings"]
+        for folder in folders:
+            place = place[int(folder)] if isinstance(place, list) else place[folder]
+        place[last] = value
+    zones = root["settings"]["zones"]
+    listed = [{**entry(f"s-{k}", since=k % 2 * 51_500.0), "locality": zones[k % len(zones)]} for k in range(20)]
+    root["known"]["members"] = listed
+    config = read_config(environment(tmp_path, root))
+    limits = Limits().serving(config.settings.proxies, config.settings.report_period_us)
+    facade, ordered = Facade(config.settings, 7, limits), list[Order]()
+    facade.report_known(config.known.members, config.known.version)
+    for proxy in range(config.settings.proxies):
+        facade.report_joined(proxy, zones[proxy % len(zones)], 5.0, proxy % 2 == 0)
+    for second in range(50, 80):
+        for host in config.known.members if second > 52 else ():
+            facade.report_tries(host.name, host.zone, 40, 2 * (second % 3), 1000.0, 1.5 + second, ())
+        for cls in config.settings.classes:
+            facade.report_usage(0, cls.name, 50 * (second - 49), second % 5, 1000.0)
+        if second == 60:
+            facade.report_list([replace(config.known.members[0], phase=Phase.DRAINING)], 42, False)
+        facade.start(second * 1_000_000)
+        orders = facade.pick().orders
+        ordered += orders
+        for mark in [order.stamp for order in orders if isinstance(order, Mark)]:
+            for proxy in range(config.settings.proxies):
+                facade.report_applied(proxy, mark, 1.0)
+    assert {order.proxy for order in ordered if isinstance(order, UseTable)} == set(range(config.settings.proxies))
+    assert ShutOut("s-0", True) in ordered
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -24,6 +24,13 @@
     assert Limits().serving(60) == Limits()
 
 
+def test_limits_of_reports_follow_how_often_they_come() -> None:
+    """A customer whose reports tell of two minutes each had them all refused, and its collectors ended in between."""
+    assert Limits().serving(60, 2_000_000) == Limits()
+    patient = Limits().serving(60, 120_000_000)
+    assert min(patient.window_us, patient.collector_us) == 480_000_000
+
+
 def test_descriptors_and_memory_granted_bound_what_is_open_and_held() -> None:
     limits = Limits().within(256, 32)
     assert limits.connections == 128
