Look for late joiners' drains where tables are long in the count behind the real parts

The full run of the tests on had one failure, test_a_defence_taken_out_behind_the_real_parts_is_found_by_the_count: a director that tells late joiners nothing broke no drain any more, as all proxies are bound within a grace. The module alone still finds the mutant with today's tables (test_a_defence_taken_out_is_found_by_the_count).

--- a/tests/test_mass.py
+++ b/tests/test_mass.py
@@ -201,8 +201,22 @@
     day.bench.close()
 
 
+class LongTables(Director):
+    """Tables as long as connections allow: bindings take most of a grace, so late joiners have to be told."""
+
+    def _lay_out(self, hosts: int) -> None:
+        self.bind_lines = float(hosts)
+        super()._lay_out(hosts)
+
+
+class LongTablesTellNobodyLate(TellsNobodyLate, LongTables):
+    """The defence taken out where it is needed most."""
+
+
 def test_a_defence_taken_out_behind_the_real_parts_is_found_by_the_count() -> None:
-    day = RealDay(0, TellsNobodyLate)
+    day = taken_over(RealDay(0, LongTables))
+    day.bench.close()
+    day = RealDay(0, LongTablesTellNobodyLate)
     with pytest.raises(Broken):
         taken_over(day)
     day.bench.close()
