Split the relay's client into codec, calls and event streams, and share the tests' fixture

It is relay_codec, relay_calls and relay_events now; classes say what they are (RelayCalls, EventStreams, InvalidCall), call_body gives a CallBody in place of a bare tuple, `there` is `reachable`, 16 has a name (ENVELOPE_BYTES). Behaviour is unchanged.

In tests/test_mass.py the mutants that the count has to find derive from a director with tables as long as connections allow (LongTables): with short ones a director that loses a defence has room to spare. The takeover is played with both.

--- a/kelpcourse/service/director.py
+++ b/kelpcourse/service/director.py
@@ -31,7 +31,8 @@
 from kelpcourse.wire.loop import Loop, Routine, Signal, Task, Wait
 from kelpcourse.wire.parts import Parts
 from kelpcourse.wire.probes import Probes
-from kelpcourse.wire.relay import Calls, NewsReader
+from kelpcourse.wire.relay_calls import RelayCalls
+from kelpcourse.wire.relay_events import EventStreams
 from kelpcourse.wire.stream import Address
 
 BAD_CONFIG = 2
@@ -78,8 +79,8 @@
         self._discovery = self._source or Discovery(
             self._parts, config.discovery, config.known.version, config.seed % 1_024 / 1_024)
         self._probes = Probes(self._parts)
-        self._calls = Calls(self._parts, config.relay, self._outbox, self._waiting)
-        self._news = NewsReader(self._parts, config.relay, self._outbox, self._calls.there)
+        self._calls = RelayCalls(self._parts, config.relay, self._outbox, self._waiting)
+        self._events = EventStreams(self._parts, config.relay, self._outbox, self._calls.reachable)
         self._stop = 0
         self._reloading: Task | None = None
 
@@ -92,7 +93,7 @@
         self._keep("signals", lambda: self._signals.read(self._on_signal))
         self._step(self._facade.start)
         self._keep("calls", self._calls.run)
-        self._follow_news()
+        self._follow_events()
         self._keep("listener", Listener(self._parts, self._config.listen, self._sock).run)
         while not self._stop:
             self._loop.turn(self._facade.due_us())
@@ -103,9 +104,9 @@
         self._log.always("stop", signal=self._stop, counters=self._counters.snapshot())
         return 0
 
-    def _follow_news(self) -> None:
-        for stream in self._news.streams():
-            self._keep(f"news {stream}", partial(self._news.run, stream))
+    def _follow_events(self) -> None:
+        for stream in self._events.streams():
+            self._keep(f"news {stream}", partial(self._events.run, stream))
 
     def _hang_up(self) -> None:
         """A reload that is being tried again starts anew: the file may have changed since."""
@@ -141,8 +142,8 @@
         self._log.always("reload", moved=moved, wait_for_restart=waits)
         if "relay" in moved:
             self._calls.move(new.relay)
-            self._news.move(new.relay)
-            self._follow_news()
+            self._events.move(new.relay)
+            self._follow_events()
         if "discovery" in moved:
             self._discovery.move(new.discovery)
 
--- a/kelpcourse/shared/steering.py
+++ b/kelpcourse/shared/steering.py
@@ -23,7 +23,8 @@
 from kelpcourse.wire.discovery import Discovery
 from kelpcourse.wire.loop import Loop, Routine, Signal, Task, Wait
 from kelpcourse.wire.parts import LogLike, Parts
-from kelpcourse.wire.relay import Calls, NewsReader
+from kelpcourse.wire.relay_calls import RelayCalls
+from kelpcourse.wire.relay_events import EventStreams
 from kelpcourse.wire.stream import Address
 
 CLEAR_US = 30_000_000  # after which proxies that were told have left a host (architecture.md, what is forgotten)
@@ -68,8 +69,8 @@
         self._outbox = Outbox(around.limits.orders, around.limits.marks)
         self._waiting = Signal()
         self._discovery = Discovery(parts, around.discovery, 0)
-        self._calls = Calls(parts, around.relay, self._outbox, self._waiting, self._target)
-        self._news = NewsReader(parts, around.relay, self._outbox, self._calls.there,
+        self._calls = RelayCalls(parts, around.relay, self._outbox, self._waiting, self._target)
+        self._events = EventStreams(parts, around.relay, self._outbox, self._calls.reachable,
                                 f"/v3/kv/groups/{gained.group}/events")
         self._tasks: list[Task] = []
         self._withdrawn: dict[str, int] = dict(gained.first)  # and since when (Unix ms)
@@ -86,7 +87,7 @@
 
     def start(self) -> None:
         loop = self._around.loop
-        routines = [self._calls.run(), *(self._news.run(stream) for stream in self._news.streams()), self._steps(),
+        routines = [self._calls.run(), *(self._events.run(stream) for stream in self._events.streams()), self._steps(),
                     self._clears()]
         self._tasks = [loop.start(f"group {self.group}", routine) for routine in routines]
 
--- a/tests/test_director.py
+++ b/tests/test_director.py
@@ -19,9 +19,9 @@
 
 from kelpcourse.wire.loop import Loop, Wait
 from kelpcourse.wire.stream import Act
+from tests.relays import joined
 from tests.standins import Caller, StandIn, entry, listed
 from tests.test_config import ROOT
-from tests.test_relay import joined
 
 PATIENCE_S = 60.0  # far beyond what anything here takes: only a director that is stuck meets it
 HOSTS = [{**entry(f"s-{k}"), "locality": "room-a" if k % 2 else "room-b"} for k in range(4)]
--- a/tests/test_discovery_client.py
+++ b/tests/test_discovery_client.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterator
+from collections.abc import Callable
 from dataclasses import replace
 
 import pytest
@@ -17,13 +17,6 @@
 from tests.standins import MS, QUICK, Bench, Caller, StandIn, entry, listed
 
 
-@pytest.fixture
-def bench() -> Iterator[Bench]:
-    made = Bench()
-    yield made
-    made.close()
-
-
 class Service:
     """Answers each connection by the next act of a script."""
 
--- a/tests/test_end_result.py
+++ b/tests/test_end_result.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterator
+from collections.abc import Callable
 from typing import Any
 
 import orjson
@@ -11,7 +11,8 @@
 from kelpcourse.memory.orders import EmptyTable, Limit, Mark, Order, SetShare, ShutOut, UseTable
 from kelpcourse.memory.outbox import Outbox
 from kelpcourse.wire.loop import Signal
-from kelpcourse.wire.relay import Calls, encode
+from kelpcourse.wire.relay_calls import RelayCalls
+from kelpcourse.wire.relay_codec import encode_order
 from kelpcourse.wire.stream import Act
 from tests.standins import MS, QUICK, Bench, Caller, StandIn
 
@@ -70,7 +71,7 @@
     standing = Standing()
     for number in range(STEPS):
         for order in step(number):
-            standing.apply(orjson.loads(encode(order)))
+            standing.apply(orjson.loads(encode_order(order)))
     return standing
 
 
@@ -127,13 +128,6 @@
 Trouble = Callable[[Relay, Caller, Orders], Act[None]]
 
 
-@pytest.fixture
-def bench() -> Iterator[Bench]:
-    made = Bench()
-    yield made
-    made.close()
-
-
 @pytest.mark.parametrize("troubles", [
     [sound], [lost, sound], [answer_lost, sound], [answer_unreadable, sound], [silent, sound],
     [throttled, sound],
@@ -144,7 +138,7 @@
 def test_the_end_result_is_what_the_steps_ordered(
         bench: Bench, troubles: list[Trouble], pace_ms: int) -> None:
     relay, outbox, waiting = Relay(bench, troubles), Outbox(QUICK.orders, QUICK.marks), Signal()
-    bench.loop.start("calls", Calls(bench.parts, relay.stand_in.address, outbox, waiting).run())
+    bench.loop.start("calls", RelayCalls(bench.parts, relay.stand_in.address, outbox, waiting).run())
     for number in range(STEPS):
         outbox.add(step(number))
         waiting.raise_()
--- a/tests/test_listener.py
+++ b/tests/test_listener.py
@@ -91,13 +91,6 @@
     return said
 
 
-@pytest.fixture
-def bench() -> Iterator[Bench]:
-    made = Bench()
-    yield made
-    made.close()
-
-
 @pytest.fixture
 def front(bench: Bench) -> Iterator[Front]:
     made = Front(bench)
--- a/tests/test_mass.py
+++ b/tests/test_mass.py
@@ -18,7 +18,7 @@
 from kelpcourse.memory.hosts import Phase
 from kelpcourse.memory.outbox import Outbox
 from kelpcourse.wire.loop import Signal
-from kelpcourse.wire.relay import Calls
+from kelpcourse.wire.relay_calls import RelayCalls
 from kelpcourse.wire.stream import Act
 from tests.fleet import SECOND, SETTINGS, changes, full, host
 from tests.massworld import Broken, MassWorld, ModuleDay, Order
@@ -61,21 +61,31 @@
     return day
 
 
+class LongTables(Director):
+    """Tables as long as connections allow: bindings take most of a grace, so that every defence is needed."""
+
+    def _lay_out(self, hosts: int) -> None:
+        self.bind_lines = float(hosts)
+        super()._lay_out(hosts)
+
+
+@pytest.mark.parametrize("make", [Director, LongTables])
 @pytest.mark.parametrize("seed", [1, 2])
-def test_a_director_that_takes_over_the_fleet_keeps_queue_and_drains(seed: int) -> None:
-    day = takeover(seed)
+def test_a_director_that_takes_over_the_fleet_keeps_queue_and_drains(
+        seed: int, make: Callable[[Settings], Director]) -> None:
+    day = takeover(seed, make)
     assert MASS.channel_backlog * 0.5 < day.world.most <= MASS.channel_backlog
     assert len(day.director.proxies) == 1_600
 
 
-class TellsNobodyLate(Director):
+class TellsNobodyLate(LongTables):
     """What was ordered before a proxy joined is its former director's business."""
 
     def _tell_late(self) -> dict[int, int]:
         return {}
 
 
-class TellsBindingsFirst(Director):
+class TellsBindingsFirst(LongTables):
     """A withdrawal may wait for proxies to be bound."""
 
     def _withdraw_dropped(self) -> None:
@@ -91,7 +101,7 @@
 
 
 def careless(settings: Settings) -> Director:
-    made = Director(settings)
+    made = LongTables(settings)
     made.channel = ForgetsTheUnanswered(
         int(settings.channel_backlog / settings.channel_lines_per_s * 1e6) + settings.transit_longest_us,
         settings.channel_lines_per_s / 1e6, settings.messages_most, settings.messages_over_us)
@@ -117,7 +127,7 @@
         self.outbox, self.waiting = Outbox(limits.orders, limits.marks), Signal()
         self.lost, self.draw = lost, random.Random(seed)  # part of the calls that are carried out and not answered
         relay = StandIn(self.bench.loop, self._serve)
-        self.bench.loop.start("calls", Calls(parts, relay.address, self.outbox, self.waiting).run())
+        self.bench.loop.start("calls", RelayCalls(parts, relay.address, self.outbox, self.waiting).run())
         self.members = {f"s-{h.id}": member(f"s-{h.id}") for h in HOSTS}
         self.members = {n: replace(m, zone=ZONES[k % 8]) for k, (n, m) in enumerate(self.members.items())}
         self.facade.report_known(list(self.members.values()), 1)
@@ -201,22 +211,8 @@
     day.bench.close()
 
 
-class LongTables(Director):
-    """Tables as long as connections allow: bindings take most of a grace, so late joiners have to be told."""
-
-    def _lay_out(self, hosts: int) -> None:
-        self.bind_lines = float(hosts)
-        super()._lay_out(hosts)
-
-
-class LongTablesTellNobodyLate(TellsNobodyLate, LongTables):
-    """The defence taken out where it is needed most."""
-
-
 def test_a_defence_taken_out_behind_the_real_parts_is_found_by_the_count() -> None:
-    day = taken_over(RealDay(0, LongTables))
-    day.bench.close()
-    day = RealDay(0, LongTablesTellNobodyLate)
+    day = RealDay(0, TellsNobodyLate)
     with pytest.raises(Broken):
         taken_over(day)
     day.bench.close()
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -4,7 +4,6 @@
 
 import errno
 import os
-from collections.abc import Iterator
 from dataclasses import replace
 from pathlib import Path
 
@@ -330,13 +329,6 @@
         os.close(self.fd)
 
 
-@pytest.fixture
-def bench() -> Iterator[Bench]:
-    made = Bench()
-    yield made
-    made.close()
-
-
 def test_changes_of_one_round_share_a_sync_and_none_is_told_before_it(bench: Bench, tmp_path: Path) -> None:
     journal, hand = Journal(Folder(tmp_path)), ByHand()
     told: list[str] = []
