Keep tables as they are laid out while proxies are bound to them; measure 3,200 proxies

Found on rereading: with all hosts gone no table holds a line, and a whole list that came then laid the tables out anew. The proxies bound to the former ones stood in no table's books any more and were never bound again (rule 1). At fault: _take_list, which looked at lines alone. It looks at who is bound too; the test fails without it.

benchmarks/fleet.py has 640 proxies with 120 hosts and 3,200 with 1,024, a whole list, peak memory, and two versions to compare with.

--- a/benchmarks/fleet.py
+++ b/benchmarks/fleet.py
@@ -1,7 +1,8 @@
-"""What the decision module's steps cost as the fleet grows, beside the version before: `python -m benchmarks.fleet`.
+"""What the decision module's steps cost as the fleet grows, beside earlier versions: `python -m benchmarks.fleet`.
 
-Both versions are stepped by turns with the same events. Figures are processor time; the ratio is before over now, so
-above 1 is faster now. The version before orders one table of all hosts, today's a part of them to each proxy.
+All versions are stepped by turns with the same events. Figures are processor time, medians of the rounds; the ratio is
+before over now, so above 1 is faster now. The first version orders one table of all hosts, later ones a part of them to
+each proxy. Memory is the peak that Python's allocator holds after a mass join, measured apart from the times.
 """
 
 from __future__ import annotations
@@ -9,6 +10,7 @@
 import gc
 import statistics
 import time
+import tracemalloc
 from collections.abc import Callable, Sequence
 from dataclasses import replace
 from typing import Any
@@ -20,8 +22,9 @@
 )
 from tests.fleet import SECOND, SETTINGS, changes, full, host
 
-BEFORE = "abbb568"
-SIZES = [(400, 30), (400, 200), (1_600, 30), (1_600, 200), (1_600, 1_024)]  # proxies, hosts
+ONE_TABLE = "abbb568"  # the last version with one table of all hosts
+BEFORE = "37acbe9"  # the version before tables followed a drain's grace
+SIZES = [(400, 30), (640, 120), (1_600, 200), (1_600, 1_024), (3_200, 1_024)]  # proxies, hosts
 ROUNDS = 3
 
 
@@ -84,6 +87,14 @@
     fleet.step(changes([replace(h, state=HostState.DRAINING) for h in fleet.hosts[::10]]))
 
 
+def a_whole_list(fleet: Fleet) -> None:
+    """A complete list that changes nothing comes in one step."""
+    fleet.joined()
+    fleet.second()
+    fleet.took_s = 0.0
+    fleet.step(full(fleet.hosts))
+
+
 def cost_ms(kind: Callable[[Fleet], None], make: Callable[[Settings], Any], proxies: int, hosts: int) -> float:
     fleet = Fleet(make, proxies, hosts)
     gc.collect()
@@ -92,16 +103,29 @@
     return fleet.took_s * 1000
 
 
+def memory_mb(make: Callable[[Settings], Any], proxies: int, hosts: int) -> float:
+    tracemalloc.start()
+    a_mass_join(Fleet(make, proxies, hosts))
+    peak_bytes = tracemalloc.get_traced_memory()[1]
+    tracemalloc.stop()
+    return peak_bytes / 1e6
+
+
 def main() -> None:
-    before = module_at(BEFORE, "kelpcourse/decide.py").Director
-    print("| | proxies | hosts | before, ms | now, ms | before over now |\n| --- | ---: | ---: | ---: | ---: | ---: |")
-    for kind in (a_second, a_mass_join, a_report, a_withdrawal):
+    makers = [module_at(revision, "kelpcourse/decide.py").Director for revision in (ONE_TABLE, BEFORE)]
+    makers.append(Director)
+    print("| | proxies | hosts | one table, ms | before, ms | now, ms | one table over now | before over now |")
+    print("| --- | ---: | ---: | ---: | ---: | ---: | ---: | ---: |")
+    for kind in (a_second, a_mass_join, a_report, a_withdrawal, a_whole_list):
         for proxies, hosts in SIZES:
-            rounds = [(cost_ms(kind, before, proxies, hosts), cost_ms(kind, Director, proxies, hosts))
-                      for _ in range(ROUNDS)]
-            old, new = (statistics.median(r[k] for r in rounds) for k in (0, 1))
-            print(f"| {kind.__name__.replace('_', ' ')} | {proxies:,} | {hosts:,} | {old:.1f} | {new:.1f}"
-                  f" | {old / new:.2f} |", flush=True)
+            rounds = [[cost_ms(kind, make, proxies, hosts) for make in makers] for _ in range(ROUNDS)]
+            first, old, new = (statistics.median(costs[k] for costs in rounds) for k in range(len(makers)))
+            print(f"| {kind.__name__.replace('_', ' ')} | {proxies:,} | {hosts:,} | {first:.1f} | {old:.1f}"
+                  f" | {new:.1f} | {first / new:.2f} | {old / new:.2f} |", flush=True)
+    for proxies, hosts in SIZES:
+        held = [memory_mb(make, proxies, hosts) for make in makers]
+        print(f"| memory, MB | {proxies:,} | {hosts:,} | {held[0]:.1f} | {held[1]:.1f} | {held[2]:.1f}"
+              f" | {held[0] / held[2]:.2f} | {held[1] / held[2]:.2f} |", flush=True)
 
 
 if __name__ == "__main__":
--- a/kelpcourse/decide.py
+++ b/kelpcourse/decide.py
@@ -177,8 +177,8 @@
             self.ask_wait_us = min(self.ask_wait_us * 2, max(ASK_FIRST_US, self.s.ask_within_us // 4))
             return
         self.ask_wait_us = ASK_FIRST_US
-        if not any(self.lines.values()) and event.kind is not ListKind.CHANGES:
-            self._lay_out(len(event.hosts))
+        if event.kind is not ListKind.CHANGES and not any((*self.lines.values(), *self.holders.values())):
+            self._lay_out(len(event.hosts))  # rule 1: proxies bound to a table stay with it
         if event.kind is not ListKind.CHANGES:
             for gone in sorted(self.servers.keys() - {host.id for host in event.hosts}):
                 self._drop(gone)
--- a/tests/test_connections.py
+++ b/tests/test_connections.py
@@ -11,7 +11,7 @@
 from kelpcourse.interface import (
     BindProxy, Checkpoint, Host, HostState, ProxyJoined, ProxyLeft, SetLine, Withdraw,
 )
-from tests.fleet import SECOND, SETTINGS, Day, changes, host
+from tests.fleet import SECOND, SETTINGS, Day, changes, full, host
 
 CROWDED = replace(
     SETTINGS, proxies=120, connections_least=100.0, channel_backlog=50_000.0, drain_grace_us=3 * SECOND)
@@ -208,3 +208,16 @@
     for counts in groups.values():
         assert set(counts) == set(range(day.director.groups))
         assert max(counts.values()) <= 2 * min(counts.values())
+
+
+def test_proxies_stay_bound_when_all_hosts_are_gone_and_a_whole_list_comes() -> None:
+    """With no line left the tables were laid out anew, and those bound to the former ones were bound to none."""
+    day = joined(60, 60)
+    bound = {number for holders in day.director.holders.values() for number in holders}
+    day.send(full([], 2))
+    day.until(day.now + 4 * SECOND)
+    assert not any(day.director.lines.values())
+    day.send(full([host(500 + k, h.zone) for k, h in enumerate(FLEET)], 3))
+    day.until(day.now + 4 * SECOND)
+    for number in bound:
+        assert any(number in holders and day.tables[t] for t, holders in day.director.holders.items())
