--- a/kelpcourse/lab/world.py
+++ b/kelpcourse/lab/world.py
@@ -38,8 +38,12 @@
     return time.monotonic_ns() // 1000
 
 
-def free_address() -> Address:
-    with socket.create_server(("127.0.0.1", 0)) as sock:
+LISTEN_HOST = "127.0.0.2"  # connections go out from 127.0.0.1, so none can take a port that is free here
+
+
+def free_address(host: str = "127.0.0.1") -> Address:
+    """An address with a port that is free now; on LISTEN_HOST it stays so until a listener takes it."""
+    with socket.create_server((host, 0)) as sock:
         address: Address = sock.getsockname()
         return address
 
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+import socket
 
 import pytest
 
@@ -10,7 +11,7 @@
 from kelpcourse.lab.forwarder import Forwarder, shares
 from kelpcourse.lab.rules import Checker
 from kelpcourse.lab.view import summary_lines
-from kelpcourse.lab.world import Lab
+from kelpcourse.lab.world import LISTEN_HOST, Lab
 
 MS = 1000
 
@@ -86,3 +87,11 @@
     assert summary.alarms == [["move-submit"], []]
     assert [line for line in lines if line.startswith("order  OUT")] == ["order  OUT s-0", "order  OUT s-2"]
     assert summary.picks > 0
+
+
+def test_a_connection_does_not_take_the_port_of_an_address_to_listen_on() -> None:
+    """A port found free went to an outgoing connection before its listener came, and a run of the tests failed."""
+    with socket.socket() as connection:
+        connection.bind(("127.0.0.1", 0))
+        with socket.create_server((LISTEN_HOST, connection.getsockname()[1])) as listener:
+            assert listener.getsockname()[0] == LISTEN_HOST
--- a/tests/test_shared_members.py
+++ b/tests/test_shared_members.py
@@ -18,7 +18,7 @@
 from hypothesis import strategies as st
 
 from kelpcourse.cli.main import cli
-from kelpcourse.lab.world import free_address
+from kelpcourse.lab.world import LISTEN_HOST, free_address
 from kelpcourse.limits import Limits
 from kelpcourse.memory.counters import Counters
 from kelpcourse.shared import codec, keys
@@ -108,7 +108,7 @@
         self.loop = Loop(lambda: time.monotonic_ns() // 1000, lambda _, error: self.defects.append(error))
         self.log = Records()
         self.names = [f"n{k}" for k in range(count)]
-        self.addresses = {name: free_address() for name in self.names}
+        self.addresses = {name: free_address(LISTEN_HOST) for name in self.names}
         self.members: dict[str, FleetMember] = {}
         self.tasks: dict[str, list[object]] = {}
         self.tls = tls
--- a/tests/test_steering.py
+++ b/tests/test_steering.py
@@ -10,7 +10,7 @@
 
 from kelpcourse.fields import Fields
 from kelpcourse.lab.config import READ, settings
-from kelpcourse.lab.world import Lab, free_address, now_us
+from kelpcourse.lab.world import LISTEN_HOST, Lab, free_address, now_us
 from kelpcourse.limits import Limits
 from kelpcourse.memory.counters import Counters
 from kelpcourse.settings import read_settings
@@ -37,7 +37,7 @@
         self.lab.groups = GROUPS
         self.folder = folder
         self.log = Records()
-        self.addresses = {f"n{k}": free_address() for k in range(3)}
+        self.addresses = {f"n{k}": free_address(LISTEN_HOST) for k in range(3)}
         self.members: dict[str, FleetMember] = {}
         self.steerings: dict[str, Steering] = {}
         self.tasks: dict[str, list[Task]] = {}
