Review: three cases from the source, with their stand-ins

Each script starts the program by the deploy file's command and exits with 1 where a rule is broken. Case 3: after a lost zone no host of a class is let back in time.

--- a/review/1/case.py
+++ b/review/1/case.py
@@ -104,6 +104,7 @@
     for endpoint in leaving:
         successor = Endpoint(f"m-{endpoint.name}", endpoint.zone, "type-a", endpoint.cell)
         successor.up_since_ms = int(time.time() * 1000)
+        successor.listed_ready = False
         world.endpoints[successor.name] = successor
         await world.open_endpoint(successor)
         started.append(successor)
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -15,8 +15,8 @@
 HOSTS = 26
 REPLACED = 15  # six in ten
 REPLACED_WITHIN_S = 7.0
-STARTS_AFTER_S = 1.0  # until the successor is listed
-GONE_AFTER_S = 3.0
+LISTED_AFTER = 3  # lists, until the successor is in them
+GONE_AFTER = 7
 TROUBLE_AT_S = 15.0
 END_S = 40.0
 
@@ -108,25 +108,36 @@
 async def scenario(world: World) -> None:
     await asyncio.sleep(TROUBLE_AT_S)
     if with_trouble():
-        for k in range(REPLACED):
-            world.spawn(replace(world, world.endpoints[f"g-{k:02}"]))
-            await asyncio.sleep(REPLACED_WITHIN_S / REPLACED)
+        await replace(world)
     await asyncio.sleep(END_S - world.now())
 
 
-async def replace(world: World, leaving: Endpoint) -> None:
-    leaving.phase = "draining"
-    world.list_changes([leaving])
-    successor = Endpoint(f"h{leaving.name}", leaving.zone, "large", leaving.cell)
-    successor.up_since_ms = int(time.time() * 1000)
-    world.endpoints[successor.name] = successor
-    await world.open_endpoint(successor)
-    await asyncio.sleep(STARTS_AFTER_S)
-    world.list_changes([successor])
-    await asyncio.sleep(GONE_AFTER_S - STARTS_AFTER_S)
-    leaving.phase = "gone"
-    leaving.alive = False
-    world.list_changes([leaving])
+async def replace(world: World) -> None:
+    """One host after the other drains; its successor is listed three lists later, and it is gone seven lists later."""
+    leaving = [world.endpoints[f"g-{k:02}"] for k in range(REPLACED)]
+    successors: list[Endpoint] = []
+    for step in range(REPLACED + GONE_AFTER):
+        changed = []
+        if step < REPLACED:
+            host = leaving[step]
+            host.phase = "draining"
+            successor = Endpoint(f"h{host.name}", host.zone, "large", host.cell)
+            successor.up_since_ms = int(time.time() * 1000)
+            successor.listed_ready = False
+            world.endpoints[successor.name] = successor
+            await world.open_endpoint(successor)
+            successors.append(successor)
+            changed.append(host)
+        if 0 <= step - LISTED_AFTER < REPLACED:
+            changed.append(successors[step - LISTED_AFTER])
+        if 0 <= step - GONE_AFTER < REPLACED:
+            host = leaving[step - GONE_AFTER]
+            host.phase = "gone"
+            host.alive = False
+            changed.append(host)
+        if changed:
+            world.list_changes(changed)
+        await asyncio.sleep(REPLACED_WITHIN_S / REPLACED)
 
 
 if __name__ == "__main__":
--- a/review/standins.py
+++ b/review/standins.py
@@ -67,6 +67,7 @@
     cold_from: float = 0.2  # part of its capacity with which it starts
     cold_s: float = 12.0  # until it is warm
     fell: bool = False
+    listed_ready: bool = True  # as far as discovery has written it
     sent: deque[float] = field(default_factory=deque)  # times of the latest requests while cold
 
     def entry(self) -> dict:
@@ -106,22 +107,19 @@
         self.failed: dict[str, int] = {}  # own tries that failed in a row, by endpoint
         self.away: dict[str, float] = {}  # until when it keeps away from an endpoint
 
-    def lines(self, request_class: str) -> dict[str, float]:
+    def held(self, request_class: str) -> dict[str, float]:
         if request_class in self.bound:
-            table = self.tables.get(self.bound[request_class], {})
-        else:
-            table = dict.fromkeys(self.standing.get(request_class, ()), 1.0)
+            return self.tables.get(self.bound[request_class], {})
+        return dict.fromkeys(self.standing.get(request_class, ()), 1.0)
+
+    def lines(self, request_class: str) -> dict[str, float]:
+        table = self.held(request_class)
         return {host: weight for host, weight in table.items() if host not in self.withdrawn}
 
     def gate(self, request_class: str) -> float:
         table = self.bound.get(request_class, -1)
         return self.gates.get((table, request_class), 1.0)
 
-    def holds(self, host: str) -> bool:
-        if any(host in hosts for hosts in self.standing.values()):
-            return True
-        return any(host in table for table in self.tables.values())
-
     def pick(self, request_class: str, rng: random.Random, now: float) -> str | None:
         """Of two drawn by weight, the one with fewer of its own requests under way."""
         lines = self.lines(request_class)
@@ -215,6 +213,7 @@
         self.rng = random.Random(seed)
         self.broken: list[str] = []
         self.excused = 0.0
+        self.bare_since: dict[tuple[int, str], float] = {}
         self.first_answer_at: float | None = None
         # relay
         self.tables: dict[int, dict[str, float]] = {}
@@ -296,7 +295,7 @@
         """A proxy that was started again joins, with standing tables of hosts that are listed."""
         proxy.tables, proxy.bound, proxy.withdrawn, proxy.gates = {}, {}, set(), {}
         proxy.out, proxy.failed, proxy.away = {}, {}, {}
-        ready = [each for each in self.endpoints.values() if each.phase == "ready" and not each.fell]
+        ready = [each for each in self.endpoints.values() if each.listed_ready]
         for each in self.classes:
             zones = each.only_zones or (proxy.zone,)
             names = [e.name for e in ready if e.zone in zones]
@@ -363,9 +362,13 @@
             operation = ("USE", table, tuple(names), entries, gates, withdrawn)
             return [(order["sidecar"], operation, lines)]
         if verb in ("OUT", "IN"):
-            (self.withdrawn.add if verb == "OUT" else self.withdrawn.discard)(order["host"])
-            holding = [n for n in self.users if self.proxies[n].holds(order["host"])]
-            return [(number, (verb, order["host"]), 1) for number in holding]
+            host = order["host"]
+            (self.withdrawn.add if verb == "OUT" else self.withdrawn.discard)(host)
+            # It concerns every joined proxy, and is a line at those that hold a table with the host.
+            holding = {n for n in self.users if self._holds(n, host)}
+            for number in self.users.keys() - holding:
+                self._apply_silently(self.proxies[number], (verb, host))
+            return [(number, (verb, host), 1) for number in holding]
         if verb == "LIMIT":
             tables = list(self.tables) if table == "*" else [table]
             effects = []
@@ -380,6 +383,19 @@
             return effects
         raise ValueError(verb)
 
+    def _holds(self, number: int, host: str) -> bool:
+        bound = self.users[number]
+        if any(host in self.tables.get(table, {}) for table in bound.values()):
+            return True
+        proxy = self.proxies[number]
+        return any(host in proxy.held(each.name) for each in self.classes if each.name not in bound)
+
+    def _apply_silently(self, proxy: Proxy, operation: tuple) -> None:
+        delay = max(self.family["propagation_us"] / 1e6, proxy.arrives_at - self.now())
+        asyncio.get_running_loop().call_later(
+            delay, self._arrive, proxy, proxy.joined_at, [operation], None, 0.0
+        )
+
     def _send(self, messages: dict, costs: dict, stamp: int | None) -> float:
         """Puts messages into the channel, which writes them one after another; returns the entries waiting."""
         now = self.now()
@@ -452,6 +468,7 @@
         self.record.line(f"discovery writes {text}")
         for member in json.loads(text)["members"]:
             endpoint = self.endpoints[member["id"]]
+            endpoint.listed_ready = member["phase"] == "ready"
             if member["phase"] != "ready" and endpoint.told_at is None:
                 endpoint.told_at = self.now()
 
@@ -464,6 +481,8 @@
             self.history.append((self.revision, endpoint.entry()))
             self.record.line(f"discovery knows {endpoint.name} {endpoint.phase}, revision {self.revision}")
         text = self._list(False, [endpoint.entry() for endpoint in changed])
+        for endpoint in changed:
+            endpoint.listed_ready &= endpoint.phase == "ready"
         for writer in list(self.watchers):
             with contextlib.suppress(ConnectionError):
                 self._write_list(writer, text)
@@ -585,6 +604,30 @@
         if len(self.broken) <= 200:
             self.record.line(f"RULE BROKEN {text}")
 
+    async def check_bare(self) -> None:
+        """Rule 1: how long each joined proxy lacks a line while an open, warm endpoint is listed as ready."""
+        while True:
+            await asyncio.sleep(0.1)
+            now = self.now()
+            for each in self.classes:
+                warm = any(
+                    e.listed_ready
+                    and (not each.only_zones or e.zone in each.only_zones)
+                    and time.time() * 1000 - e.up_since_ms >= self.rules["cold_us"] / 1000
+                    for e in self.endpoints.values()
+                )
+                for proxy in self.proxies.values():
+                    key = (proxy.number, each.name)
+                    if proxy.joined_at is None or not warm or proxy.lines(each.name):
+                        self.bare_since.pop(key, None)
+                        continue
+                    since = self.bare_since.setdefault(key, max(now, self.first_answer_at + FIRST_ANSWER_S))
+                    if now - since > self.family["blackhole_us"] / 1e6 + SOCKET_SLACK_S:
+                        self.break_rule(
+                            f"no host: proxy {proxy.number} has had no line to pick for {each.name}"
+                            f" for {now - since:.2f} s while an open, warm host is listed as ready"
+                        )
+
     async def log_picks(self) -> None:
         while True:
             await asyncio.sleep(1.0)
@@ -633,7 +676,7 @@
         self.discovery = await asyncio.start_server(self.serve_discovery, "127.0.0.1", 0)
         for endpoint in self.endpoints.values():
             await self.open_endpoint(endpoint)
-        self.listen = free_port()
+        self.listen = free_address()
         self.config_path = self._folder / "config.json"
         self.write_config()
         self.start_controller()
@@ -647,8 +690,9 @@
         self.record.line("controller answered pong")
         self.spawn(self.traffic())
         self.spawn(self.log_picks())
+        self.spawn(self.check_bare())
         for zone in self.settings["zones"]:
-            self.spawn(self.collector(zone, ("127.0.0.1", self.listen)))
+            self.spawn(self.collector(zone, self.listen))
 
     async def open_endpoint(self, endpoint: Endpoint) -> None:
         server = await asyncio.start_server(self.serve_endpoint, "127.0.0.1", 0)
@@ -661,7 +705,7 @@
         members = [e.entry() for e in self.endpoints.values() if e.phase != "gone"]
         config = {
             "name": "n0",
-            "listen": f"127.0.0.1:{self.listen}",
+            "listen": f"{self.listen[0]}:{self.listen[1]}",
             "discovery": f"127.0.0.1:{self.discovery.sockets[0].getsockname()[1]}",
             "seed": "8c1f30d27a5be964",
             "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
@@ -693,7 +737,7 @@
             if self.process.poll() is not None:
                 raise RuntimeError(f"the controller ended with {self.process.returncode}")
             try:
-                reader, writer = await asyncio.open_connection("127.0.0.1", self.listen)
+                reader, writer = await asyncio.open_connection(*self.listen)
                 writer.write(b"ping\r\n")
                 answer = await asyncio.wait_for(reader.readline(), 2)
                 writer.close()
@@ -720,9 +764,11 @@
             self._folder.rmdir()
 
 
-def free_port() -> int:
-    with socket.create_server(("127.0.0.1", 0)) as sock:
-        return sock.getsockname()[1]
+def free_address() -> tuple[str, int]:
+    """Returns a loopback address whose port no outgoing connection of this machine can take meanwhile."""
+    host = f"127.{100 + os.getpid() % 100}.{os.getpid() // 100 % 250}.1"
+    with socket.create_server((host, 0)) as sock:
+        return sock.getsockname()
 
 
 def run(world_factory, scenario, limit_s: float = 110.0) -> int:
