--- a/review/1/case.py
+++ b/review/1/case.py
@@ -10,6 +10,7 @@
 
 from standins import Endpoint, Proxy, RequestClass, World, run, with_trouble
 
+RULE = "Safe drain"
 ZONES = ["siracusa", "catania", "augusta"]
 CLASSES = [RequestClass("availability", 87.0), RequestClass("booking-save", 43.0)]
 REPLACED = 3  # of 18, up to 17% of the fleet at a time
@@ -84,7 +85,7 @@
         zone = ZONES[number % 3]
         standing = rng.sample([each.name for each in endpoints if each.zone == zone], 6)
         proxies.append(Proxy(number, zone, {each.name: standing for each in CLASSES}))
-    return World(Path(__file__).parent, SETTINGS, endpoints, proxies, CLASSES)
+    return World(Path(__file__).parent, SETTINGS, endpoints, proxies, CLASSES, RULE)
 
 
 async def scenario(world: World) -> None:
