Review 2: stand-in relay keeps the order of messages to a proxy

Cause: two messages whose arrival fell on the same moment could reach a proxy in the wrong order, as the loop's timers of one moment have no order.

Change: a later message arrives a millisecond after the one before it at the earliest.

--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -200,6 +200,8 @@
         self.address = ("127.0.0.1", 0)
         # Called with the entries right after they were written to a watch.
         self.on_told: Callable[[list[dict[str, Any]]], None] = lambda entries: None
+        # Called with the first object of each watch.
+        self.on_first: Callable[[dict[str, Any]], None] = lambda first: None
 
     async def start(self) -> None:
         self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
@@ -243,6 +245,7 @@
             first = {"revision": self.revision, "complete": False, "members": list(members.values())}
         writer.write(CHUNKED_HEAD + chunk(json.dumps(first).encode()))
         self._watches.append(writer)
+        self.on_first(first)
         try:
             while True:
                 with contextlib.suppress(TimeoutError):
@@ -314,6 +317,9 @@
         self.news: list[News] = []
         self.calls = 0
         self.opened = 0  # news connections so far
+        self.calls_lost = False  # whether nothing comes to a call, which is then not carried out at all
+        self.lost_calls = 0
+        self.last_lost = 0.0
         self.on_news_opened: Callable[[News], None] = lambda news: None
         self._server: asyncio.Server | None = None
         self.address = ("127.0.0.1", 0)
@@ -338,6 +344,12 @@
                     await self._stream_news(reader, writer)
                     return
                 orders = json.loads(body)["orders"]
+                if self.calls_lost:
+                    self.last_lost = now()
+                    self.lost_calls += 1
+                    self.record.line(f"relay: nothing comes to a call of {len(orders)} orders, which is not carried out")
+                    await reader.read()
+                    break
                 accepted = self.carry_out(orders)
                 writer.write(response(200, b'{"ok_count":%d}' % accepted))
         except ConnectionError:
@@ -499,12 +511,11 @@
         lines += self.head + (1 if stamp is not None else 0)
         self.channel_free = max(self.channel_free, at) + lines / self.lines_per_s
         arrival = max(self.channel_free + self.random.uniform(*self.transit_s), proxy.next_arrival)
-        proxy.next_arrival = arrival
+        proxy.next_arrival = arrival + 0.001  # messages reach a proxy in order
         self.messages.setdefault(number, []).append(at)
         life = proxy.life
-        asyncio.get_running_loop().call_later(
-            arrival - at, self._arrive, proxy, life, parts, stamp, (arrival - at) * 1e3
-        )
+        # The loop's clock is the monotonic clock.
+        asyncio.get_running_loop().call_at(arrival, self._arrive, proxy, life, parts, stamp, (arrival - at) * 1e3)
 
     def _arrive(self, proxy: Proxy, life: int, parts: list[tuple[Any, ...]], stamp: int | None, lag_ms: float) -> None:
         if proxy.life != life or not proxy.joined:
