--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -417,6 +417,16 @@
             proxy.levels.clear()
             proxy.without_since.clear()
 
+    def director_gone(self) -> None:
+        """The director's process ended: its tables, levels and withdrawals are lost, and the streams to it break."""
+        self.tables.clear()
+        self.levels.clear()
+        self.withdrawn.clear()
+        self.bound.clear()
+        for proxy in self.proxies.values():
+            if proxy.joined:
+                self.leave(proxy)
+
     # Orders
 
     def carry_out(self, orders: list[dict[str, Any]]) -> int:
@@ -496,6 +506,11 @@
                 held = any(host in proxy.lines(each) for each in CLASSES)
                 if proxy.joined and (holds or held):
                     give(number, (verb.lower(), host), 1)
+                elif proxy.joined:
+                    # It holds no such line, so it gets no message; what holds for a line that comes later has changed.
+                    at = max(now(), proxy.next_arrival)
+                    part = [(verb.lower(), host)]
+                    asyncio.get_running_loop().call_at(at, self._arrive, proxy, proxy.life, part, None, 0.0)
         elif verb == "LIMIT":
             classes = tuple(order.get("for") or CLASSES)
             for each in classes:
