--- a/review/6/case.py
+++ b/review/6/case.py
@@ -137,10 +137,7 @@
                 f"{name}: OUT ordered {waited} after it was told; requests after the grace: {len(late)} by"
                 f" {len(self.late_proxies.get(name, ()))} proxies, the last {max(late, default=0):.2f} s after it"
             )
-        most = 0
-        for times in self.relay.messages.values():
-            most = max(most, max(sum(1 for t in times if at - 10 < t <= at) for at in times))
-        self.record.line(f"most messages to one proxy within 10 s: {most} (allowed: 12); requests in all: {self.requests}")
+        self.record.line(f"most messages to one proxy within 10 s: {self.relay.most_messages} (allowed: 12); requests in all: {self.requests}")
         if not self.director.running():
             st.finish(st.BROKEN, self.record, "the director ended")
         count = sum(map(len, self.late.values()))
--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -255,7 +255,8 @@
         except ConnectionError:
             return
         finally:
-            self._watches.remove(writer)
+            if writer in self._watches:
+                self._watches.remove(writer)
             writer.close()
 
 
@@ -313,12 +314,14 @@
         self.bound: dict[int, dict[str, int]] = {}
         self.channel_free = 0.0
         self.messages: dict[int, list[float]] = {}
+        self.most_messages = 0  # to one proxy within 10 s
         self.first_out: dict[str, float] = {}
         self.news: list[News] = []
         self.calls = 0
         self.opened = 0  # news connections so far
         self.calls_lost = False  # whether nothing comes to a call, which is then not carried out at all
         self.lost_calls = 0
+        self.cut_answers_share = 0.0  # share of answers that end at some byte, with the connection
         self.lost_carried_share = 0.0  # of those calls, the share that is carried out all the same
         self.last_lost = 0.0
         self.on_news_opened: Callable[[News], None] = lambda news: None
@@ -355,7 +358,12 @@
                     await reader.read()
                     break
                 accepted = self.carry_out(orders)
-                writer.write(response(200, b'{"ok_count":%d}' % accepted))
+                answer = response(200, b'{"ok_count":%d}' % accepted)
+                if self.random.random() < self.cut_answers_share:
+                    writer.write(answer[: self.random.randrange(len(answer))])
+                    self.record.line("relay: the answer to the call is cut off")
+                    break
+                writer.write(answer)
         except ConnectionError:
             pass
         finally:
@@ -531,7 +539,10 @@
         self.channel_free = max(self.channel_free, at) + lines / self.lines_per_s
         arrival = max(self.channel_free + self.random.uniform(*self.transit_s), proxy.next_arrival)
         proxy.next_arrival = arrival + 0.001  # messages reach a proxy in order
-        self.messages.setdefault(number, []).append(at)
+        written = self.messages.setdefault(number, [])
+        written.append(at)
+        # The rule counts from when the proxy joined.
+        self.most_messages = max(self.most_messages, sum(1 for each in written if each > max(at - 10, proxy.joined_at)))
         life = proxy.life
         # The loop's clock is the monotonic clock.
         asyncio.get_running_loop().call_at(arrival, self._arrive, proxy, life, parts, stamp, (arrival - at) * 1e3)
