Report a proxy that rejoins whichever event stream the relay writes first

Where the relay wrote to the second stream first, one joined line matched such a left-over and made the others count as confirmed, so each later return of a proxy matched its left-over.

Change: all streams carry one sequence, so a stream that reports something new is ahead of the others, and what was expected of it is dropped. A repetition has to agree with the reported state of its proxy, and what is not repeated within four of the stream's own heartbeats is no longer expected.

--- a/kelpcourse/memory/proxies.py
+++ b/kelpcourse/memory/proxies.py
@@ -5,6 +5,7 @@
 from collections import deque
 from collections.abc import Iterable
 from dataclasses import dataclass, field
+from typing import TypeVar
 
 
 @dataclass(frozen=True)
@@ -34,10 +35,14 @@
 
 
 ProxyEvent = Joined | Left | Applied
+EventT = TypeVar("EventT", bound=ProxyEvent | None)
 
 # Heartbeats on synchronised streams after which a stream with a complete snapshot becomes synchronised too.
 HEARTBEATS_TO_SYNCHRONISE = 2
 
+# Heartbeats of a stream within which it repeats an event; one that is not closed as silent is fewer behind.
+HEARTBEATS_TO_REPEAT = 4
+
 
 @dataclass
 class StreamState:
@@ -46,23 +51,24 @@
     Attributes:
         opened_us: Time at which the stream was opened, in microseconds.
         snapshot_deadline_us: Time in microseconds after which the snapshot counts as complete in any case.
-        expected: Events that synchronised streams have reported and this stream has not.
+        expected: Events that synchronised streams have reported and this stream has not; None marks a heartbeat of this
+            stream.
         buffered: Events that this stream has reported since its snapshot and no synchronised stream has.
         joined: Joined proxies as this stream has reported them, by proxy number.
         snapshot_complete: Whether the snapshot has been received completely.
-        overlaps: Whether the stream has repeated an event of another one, so that its snapshot contains no event in
-            `expected`.
+        aligned: Whether the stream's position among the events of the others is known, so that its snapshot contains no
+            event in `expected`.
         synchronised: Whether the stream has missed no reported event.
         heartbeats: Heartbeats on synchronised streams while this stream was not synchronised.
     """
 
     opened_us: int
     snapshot_deadline_us: int
-    expected: deque[ProxyEvent]
+    expected: deque[ProxyEvent | None]
     buffered: deque[ProxyEvent]
     joined: dict[int, Joined] = field(default_factory=dict)
     snapshot_complete: bool = False
-    overlaps: bool = False
+    aligned: bool = False
     synchronised: bool = False
     heartbeats: int = 0
 
@@ -128,6 +134,7 @@
         if stream.synchronised:
             self._last_reported_us = now_us
         if event is None:
+            _drop_unrepeated(stream.expected)
             return reported + self._count_heartbeat(stream)
         _update(stream.joined, event)
         if stream.synchronised:
@@ -162,9 +169,9 @@
 
     def _synchronise(self, stream: StreamState) -> list[ProxyEvent]:
         """Marks a stream as synchronised and returns its buffered events, to be reported."""
-        if not stream.overlaps:
-            stream.expected.clear()
         buffered = stream.buffered
+        if buffered or not stream.aligned:
+            stream.expected.clear()  # the others are behind, or it is all in the snapshot
         stream.buffered = deque(maxlen=self._max_ahead)
         stream.synchronised = True
         reported: list[ProxyEvent] = []
@@ -176,13 +183,25 @@
     def _was_reported(self, stream: StreamState, event: ProxyEvent) -> bool:
         """Returns whether another stream reported this event first, and removes it from the expected events.
 
-        Expected events that precede it are removed too, because this stream's snapshot contains them.
+        All streams report the same sequence. Expected events that precede this one are therefore removed too, because
+        the stream's snapshot contains them. If this event was not reported yet, all expected events precede it: what
+        is left of them would be taken for a later event with the same figures.
         """
-        if event not in stream.expected:
-            return False
-        _drop_through(stream.expected, event)
-        stream.overlaps = True
-        return True
+        stream.aligned = True
+        if event in stream.expected:
+            _drop_through(stream.expected, event)
+            if self._is_consistent(stream, event):
+                return True
+        stream.expected.clear()
+        return False
+
+    def _is_consistent(self, stream: StreamState, event: ProxyEvent) -> bool:
+        """Returns whether the reported state of a proxy can follow from an event and the expected ones after it."""
+        if isinstance(event, Applied) or any(
+            _is_about(later, event.proxy) for later in stream.expected
+        ):
+            return True
+        return isinstance(event, Joined) == (event.proxy in self._joined)
 
     def _expect_from_others(self, stream: StreamState, event: ProxyEvent) -> None:
         """Expects an event from every other stream that has not reported it yet."""
@@ -241,7 +260,19 @@
         joined.pop(event.proxy, None)
 
 
-def _drop_through(events: deque[ProxyEvent], last: ProxyEvent) -> None:
+def _is_about(event: ProxyEvent | None, proxy: int) -> bool:
+    """Returns whether an event reports that this proxy has joined or left."""
+    return isinstance(event, Joined | Left) and event.proxy == proxy
+
+
+def _drop_unrepeated(expected: deque[ProxyEvent | None]) -> None:
+    """Marks a heartbeat of the stream and removes the events that it should have repeated long before."""
+    expected.append(None)
+    if expected.count(None) > HEARTBEATS_TO_REPEAT:
+        _drop_through(expected, None)
+
+
+def _drop_through(events: deque[EventT], last: EventT) -> None:
     """Removes the oldest events up to and including `last`, which must be among them."""
     while events.popleft() != last:
         pass
