Use inherited tables no longer than a drain's grace allows

Cause: proxies that join in a reconnect storm may keep inherited tables for 6 s unless this controller has seen an endpoint drain or start. Endpoints that left the list before its start are named by nothing that it reads.

Change: kelpcourse.policy.inheritance ends the time so that all proxies can be bound within the grace, with what the delivery queue holds and the longest transit, and a timer ends it. The pending timer of withdrawals and this one share kelpcourse.policy.wakeup.

Tests of the 6 s get a grace that is longer than these; their assertions stand.

All tests but the reconnect storms (10, run before this change) passed: 1,938.

--- a/kelpcourse/policy/binding_orders.py
+++ b/kelpcourse/policy/binding_orders.py
@@ -9,8 +9,12 @@
 from kelpcourse.policy.bindings import ProxyBindings
 from kelpcourse.policy.budget import BacklogLimits, OrderBatch, OrderCosts
 from kelpcourse.policy.draining import Withdrawals
+from kelpcourse.policy.inheritance import InheritanceLimit
 from kelpcourse.policy.settings import ProxyId, Settings, TableId
 from kelpcourse.policy.tables import ClassPositions, RoutingTables
+from kelpcourse.policy.wakeup import Wakeup
+
+BINDING_TIMER = "binding"  # fires when proxies may no longer use inherited tables
 
 
 class BindingOrders:
@@ -30,6 +34,8 @@
         self._withdrawals = withdrawals
         self._costs = costs
         self._limits = BacklogLimits.of(settings)
+        self._inheritance = InheritanceLimit(settings, tables, bindings, costs)
+        self._wakeup = Wakeup(BINDING_TIMER)
 
     def send(
         self,
@@ -47,7 +53,7 @@
             late_joiners: Unbound proxies that joined after a withdrawal, with the time at which they joined.
         """
         in_storm = self._bindings.in_reconnect_storm(now_us)
-        for proxy in self._candidates(now_us, late_joiners):
+        for proxy in self._candidates(now_us, batch, late_joiners):
             tables = self._tables.tables_of(proxy, self._bindings.origins[proxy].zone)
             sizes = self._binding_sizes(proxy, tables)
             if not sizes and proxy in self._bindings.possibly_stale:
@@ -64,13 +70,16 @@
             if self._tables.is_bound_to_all(proxy, tables):
                 del self._bindings.unbound_since_us[proxy]
 
-    def _candidates(self, now_us: int, late_joiners: Mapping[ProxyId, int]) -> list[ProxyId]:
+    def _candidates(
+        self, now_us: int, batch: OrderBatch, late_joiners: Mapping[ProxyId, int]
+    ) -> list[ProxyId]:
+        """Returns the unbound proxies that are due; a timer is set for those that may use inherited tables."""
         unbound = {**late_joiners, **self._bindings.unbound_since_us}
-        return [
-            proxy
-            for proxy in unbound
-            if not self._bindings.is_served_by_inherited_table(proxy, now_us)
-        ]
+        ends_us = self._inheritance.ends_us(batch.queued_entries)
+        pending_us = [end_us for end_us in ends_us.values() if end_us > now_us]
+        if pending_us:
+            self._wakeup.request(now_us, min(pending_us), batch.actions)
+        return [proxy for proxy in unbound if ends_us[proxy] <= now_us]
 
     def _binding_sizes(
         self, proxy: ProxyId, tables: Mapping[TableId, ClassPositions]
--- a/kelpcourse/policy/bindings.py
+++ b/kelpcourse/policy/bindings.py
@@ -91,10 +91,6 @@
         inherited = sum(until_us > 0 for until_us in self.inherited_until_us.values())
         return 2 * inherited > len(self.inherited_until_us)
 
-    def is_served_by_inherited_table(self, proxy: ProxyId, now_us: int) -> bool:
-        """Returns whether the proxy can use its inherited table, so that its binding is not urgent."""
-        return self.inherited_tables_usable and now_us < self.inherited_until_us[proxy]
-
     def usual_rate(self) -> float:
         """Returns the usual request rate of all joined proxies together."""
         return sum(self.origins[proxy].usual_rate for proxy in self)
--- a/kelpcourse/policy/controller.py
+++ b/kelpcourse/policy/controller.py
@@ -38,7 +38,7 @@
 from kelpcourse.policy.load import LoadEstimate
 from kelpcourse.policy.outliers import OutlierDetector
 from kelpcourse.policy.overload import OverloadDetector
-from kelpcourse.policy.publisher import WITHDRAWAL_TIMER, Publisher
+from kelpcourse.policy.publisher import Publisher
 from kelpcourse.policy.relative_capacity import (
     learn_from_inherited_tables,
     learn_from_reports,
@@ -138,8 +138,8 @@
     def _schedule_tick(
         self, now_us: int, event: Started | TimerFired, actions: list[Action]
     ) -> None:
-        """Sets the timer of the next tick, unless the event is the timer of delayed withdrawals."""
-        if event != TimerFired(WITHDRAWAL_TIMER):
+        """Sets the timer of the next tick, unless the event is the timer of delayed orders."""
+        if isinstance(event, Started) or event.name == TICK_TIMER:
             actions.append(SetTimer(TICK_TIMER, now_us + TICK_US))
 
     def _apply_list(self, now_us: int, event: EndpointList) -> None:
--- a/kelpcourse/policy/publisher.py
+++ b/kelpcourse/policy/publisher.py
@@ -4,7 +4,7 @@
 
 from collections import Counter
 
-from kelpcourse.policy.actions import Action, Checkpoint, ResendOrders, SetTimer
+from kelpcourse.policy.actions import Action, Checkpoint, ResendOrders
 from kelpcourse.policy.admission_orders import AdmissionOrders
 from kelpcourse.policy.binding_orders import BindingOrders
 from kelpcourse.policy.bindings import ProxyBindings
@@ -21,6 +21,7 @@
 from kelpcourse.policy.subsetting import ProxyTraffic
 from kelpcourse.policy.table_updates import TableUpdates
 from kelpcourse.policy.tables import RoutingTables
+from kelpcourse.policy.wakeup import Wakeup
 from kelpcourse.policy.weights import WeightInputs
 from kelpcourse.policy.withdrawal_pacing import WithdrawalPacing
 
@@ -58,7 +59,7 @@
         self._updates = updates
         self._refill = TableRefill(settings, tables, costs)
         self._pacing = WithdrawalPacing(settings, delivery)
-        self._withdrawal_timer_us = 0
+        self._withdrawal_wakeup = Wakeup(WITHDRAWAL_TIMER)
         self._delivery = delivery
         self._binding_orders = BindingOrders(settings, tables, bindings, withdrawals, costs)
         self._limits = BacklogLimits.of(settings)
@@ -106,9 +107,7 @@
         due_us = requested_us + self._pacing.delay_us(now_us, queued_entries)
         if now_us >= due_us:
             return True
-        if not now_us < self._withdrawal_timer_us <= due_us:
-            self._withdrawal_timer_us = due_us
-            batch.actions.append(SetTimer(WITHDRAWAL_TIMER, due_us))
+        self._withdrawal_wakeup.request(now_us, due_us, batch.actions)
         return False
 
     def _updates_due(self, now_us: int, batch: OrderBatch) -> bool:
--- a/kelpcourse/policy/tables.py
+++ b/kelpcourse/policy/tables.py
@@ -86,6 +86,19 @@
         """Returns the mean number of entries of a table."""
         return sum(map(len, self.entries.values())) / len(self.entries)
 
+    def max_binding_entries_of_proxy(self) -> int:
+        """Returns the largest number of entries that the bindings of a proxy to all its tables add."""
+        return max(
+            (
+                sum(
+                    1 + len(self.entries[table]) + len(classes) for table, classes in tables.items()
+                )
+                for subsets in self.classes_by_zone.values()
+                for tables in subsets
+            ),
+            default=0,
+        )
+
     def set_entry(self, table: TableId, endpoint: EndpointId, weight: float) -> None:
         """Sets the entry of an endpoint and moves it to the end of the table; a weight of 0 removes it."""
         self.entries[table].pop(endpoint, None)
--- a/tests/test_inherited_tables.py
+++ b/tests/test_inherited_tables.py
@@ -2,13 +2,17 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
+
 import pytest
 
 from kelpcourse.policy.actions import Action, BindProxy
 from kelpcourse.policy.bindings import INHERITANCE_US
 from kelpcourse.policy.events import EndpointReport, EndpointStatus, Event, ProxyJoined
+from kelpcourse.policy.settings import Settings
 from tests.fleet import (
     SECOND,
+    SETTINGS,
     PolicyHarness,
     actions_of_type,
     list_changes,
@@ -19,20 +23,24 @@
 # The endpoint that gets three times as many attempts from inherited tables as each other one.
 FAST_ENDPOINT = 100
 
+# A grace that is longer than the time for which inherited tables are used in any case.
+LONG_GRACE = replace(SETTINGS, drain_grace_us=10 * SECOND)
+
 
 def join_restarted_controller(
-    *before: Event, has_no_table: bool = False
+    *before: Event, has_no_table: bool = False, settings: Settings = LONG_GRACE
 ) -> tuple[PolicyHarness, list[Action]]:
     """Lets all proxies join a controller that has started with a list of ten endpoints.
 
     Args:
         before: Events before the proxies join.
         has_no_table: Whether the proxies report that they hold no table.
+        settings: Settings of the policy.
 
     Returns:
         The harness, and the actions of the step in which the proxies join.
     """
-    harness = PolicyHarness(listed=make_endpoints(10), proxies=0)
+    harness = PolicyHarness(settings, make_endpoints(10), proxies=0)
     harness.run_until(harness.now_us + 3 * SECOND)
     harness.send(*before)
     harness.proxies = list(range(4))
@@ -82,6 +90,37 @@
     } == {1, 2, 3}
 
 
+@pytest.mark.parametrize("grace_us", [1_500_000, 2_000_000, 3_400_000])
+@pytest.mark.parametrize("proxies", [4, 36])
+def test_proxies_are_bound_within_a_grace_as_their_tables_may_have_removed_endpoints(
+    grace_us: int, proxies: int
+) -> None:
+    """Guards against endpoints that were removed before a restart and stay in use, as no list names them any more."""
+    settings = replace(SETTINGS, drain_grace_us=grace_us, proxy_count=proxies)
+    harness = PolicyHarness(settings, make_endpoints(10), proxies=0)
+    harness.run_until(harness.now_us + 3 * SECOND)
+    harness.proxies = list(range(proxies))
+    joined_us = harness.now_us
+    harness.send(*(ProxyJoined(proxy, "east", 10.0, False) for proxy in harness.proxies))
+    harness.run_until(joined_us + 2 * grace_us)
+    bound_us = {a.proxy: t for t, a in harness.log if isinstance(a, BindProxy)}
+    entries = 10 + 1 + len(settings.classes) + settings.message_overhead_entries + 1
+    last_entries = (
+        proxies - 1
+    ) * entries  # the first is bound as it joins, before a storm is detected
+    queue_us = last_entries / settings.delivery_entries_per_s * SECOND
+    assert bound_us.keys() == set(harness.proxies)
+    assert max(bound_us.values()) + queue_us + settings.max_transit_us <= joined_us + grace_us
+    assert max(bound_us.values()) > joined_us  # they are used as long as they may be
+
+
+def test_inherited_tables_are_used_if_removed_endpoints_may_stay_in_tables() -> None:
+    settings = replace(SETTINGS, drain_rule_excludes_removed=True)
+    harness, _ = join_restarted_controller(settings=settings)
+    actions = harness.run_until(harness.now_us + INHERITANCE_US - SECOND)
+    assert actions_of_type(actions, BindProxy) == []
+
+
 @pytest.mark.parametrize(
     "before",
     [
