Let withdrawals share messages from the first one on where single ones would not last

After twelve messages nothing was ordered until one of them was 10 s old: 66 requests to 3 draining servers, up to 2.79 s after the grace and its slack.

Cause: the pacing ordered the first withdrawals at once and began to gather them at half of the messages. With 0.5 s to wait that is too late. Updates that were due also ordered a pending withdrawal ahead of its time.

Change: a withdrawal is ordered at once only if a message now and one after each longest wait stay within the limit without end (DeliveryTracker.sustains_interval), otherwise it waits as long as it can. Updates wait with it, and it goes earlier by what the last updates cost, up to a quarter of its wait. Bindings no longer stop while a withdrawal waits; they go on as far as it stays in time. The two shares of the message limit are gone.

--- a/kelpcourse/policy/binding_orders.py
+++ b/kelpcourse/policy/binding_orders.py
@@ -43,6 +43,7 @@
         batch: OrderBatch,
         entries: Counter[ProxyId],
         late_joiners: Mapping[ProxyId, int],
+        max_entries: float,
     ) -> None:
         """Binds late joiners, then the others, until the delivery queue is full.
 
@@ -51,6 +52,7 @@
             batch: Batch that the orders are added to.
             entries: Table entries sent to each proxy in this step; those of the bindings are added.
             late_joiners: Unbound proxies that joined after a withdrawal, with the time at which they joined.
+            max_entries: Entries up to which bindings may fill the delivery queue without delaying withdrawals.
         """
         in_storm = self._bindings.in_reconnect_storm(now_us)
         for proxy in self._candidates(now_us, batch, late_joiners):
@@ -61,7 +63,7 @@
             size = sum(sizes.values())
             is_urgent = proxy in late_joiners and not batch.endpoint_orders and not in_storm
             limit = self._limits.urgent if is_urgent else self._limits.bindings
-            if sizes and not self._fits(batch, self._costs.with_message(size), limit):
+            if sizes and not _fits(batch, self._costs.with_message(size), min(limit, max_entries)):
                 break
             self._bind(now_us, batch, proxy, {table: tables[table] for table in sizes})
             if sizes:
@@ -98,12 +100,6 @@
                 sizes[table] = 1 + len(entries) + len(classes) + len(withdrawn)
         return sizes
 
-    def _fits(self, batch: OrderBatch, cost: float, limit: float) -> bool:
-        """Returns whether a binding fits; bindings must not delay pending withdrawals in the delivery queue."""
-        if not batch.queued_entries:
-            return True
-        return not self._withdrawals.draining and batch.available_entries(limit) >= cost
-
     def _bind(
         self,
         now_us: int,
@@ -117,3 +113,8 @@
         for table, classes in tables.items():
             self._tables.bound_proxies[table][proxy] = now_us
             batch.actions.append(BindProxy(proxy, table, tuple(classes)))
+
+
+def _fits(batch: OrderBatch, cost: float, limit: float) -> bool:
+    """Returns whether a binding fits; one always fits in an empty delivery queue."""
+    return not batch.queued_entries or batch.available_entries(limit) >= cost
--- a/kelpcourse/policy/delivery.py
+++ b/kelpcourse/policy/delivery.py
@@ -9,7 +9,7 @@
 
 import math
 from collections import deque
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterable, Mapping, Sequence
 from dataclasses import dataclass
 
 from kelpcourse.policy.settings import ProxyId
@@ -158,6 +158,34 @@
             _has_recent(recent, count, since_us) for recent in self._recent_by_proxy.values()
         )
 
+    def sustains_interval(self, interval_us: int, now_us: int) -> bool:
+        """Returns whether each proxy can be sent a message now and one after each interval, without end.
+
+        Args:
+            interval_us: Time, in microseconds, between two messages; above 0.
+            now_us: Time of the first message, in microseconds.
+        """
+        if not self._max_messages:
+            return True
+        if self._message_window_us // interval_us >= self._max_messages:
+            return False
+        if self._has_room_for_interval(self._recent_messages, interval_us, now_us):
+            return True  # one proxy was sent at most as many messages as all proxies together
+        return all(
+            self._has_room_for_interval(recent, interval_us, now_us)
+            for recent in self._recent_by_proxy.values()
+        )
+
+    def _has_room_for_interval(
+        self, recent: Sequence[Delivery], interval_us: int, now_us: int
+    ) -> bool:
+        """Returns whether a proxy with these messages can be sent one now and one after each interval."""
+        for sent_count in range(1, self._message_window_us // interval_us + 2):
+            since_us = now_us + (sent_count - 1) * interval_us - self._message_window_us
+            if _has_recent(recent, self._max_messages - sent_count + 1, since_us):
+                return False
+        return True
+
     def accepted(self, checkpoint_id: int, now_us: int) -> None:
         """Records that the relay accepted the orders of a step.
 
@@ -327,6 +355,6 @@
         return confirmed + delivery.unconfirmed_entries * unconfirmed_part
 
 
-def _has_recent(recent: deque[Delivery], count: int, since_us: int) -> bool:
+def _has_recent(recent: Sequence[Delivery], count: int, since_us: int) -> bool:
     """Returns whether at least `count` of these messages, which is above 0, were sent after a time."""
     return 0 < count <= len(recent) and recent[-count].sent_us > since_us
--- a/kelpcourse/policy/publisher.py
+++ b/kelpcourse/policy/publisher.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections import Counter
 
 from kelpcourse.policy.actions import Action, Checkpoint, ResendOrders
@@ -66,6 +67,7 @@
         self._is_sliced = settings.slice_count > 0
         self._refill_cost = 0.0  # cost of refills that did not fit in the delivery queue
         self._updated_us = 0
+        self._update_entries = 0.0  # of the latest updates
 
     def publish(self, now_us: int, actions: list[Action]) -> None:
         """Adds the orders of this step to its actions."""
@@ -75,13 +77,19 @@
             actions, self._tables, self._costs, self._delivery.backlog_entries(now_us)
         )
         late_joiners = self.withdrawals.late_joiners(now_us)
-        if self._withdrawals_due(now_us, batch):
+        requested_us = self.withdrawals.first_requested_us()
+        withdrawals_due = self._withdrawals_due(now_us, batch)
+        if withdrawals_due:
             self.withdrawals.withdraw_pending(now_us, batch)
+        max_update_entries = math.inf
+        if requested_us is not None:
+            max_update_entries = self._pacing.max_queued_entries(now_us, requested_us)
         is_delayed = self.withdrawals.draining and not batch.endpoint_orders
         if not is_delayed and self._updates_due(now_us, batch):
-            self._send_updates(now_us, batch)
+            self._send_updates(now_us, batch, max_update_entries)
         entries = batch.entries_by_proxy(self._tables)
-        self._binding_orders.send(now_us, batch, entries, late_joiners)
+        max_entries = self._max_binding_entries(now_us, withdrawals_due)
+        self._binding_orders.send(now_us, batch, entries, late_joiners, max_entries)
         if batch.changes or entries or batch.endpoint_orders:
             self._send_checkpoint(now_us, batch, entries)
 
@@ -98,18 +106,29 @@
     def _withdrawals_due(self, now_us: int, batch: OrderBatch) -> bool:
         """Returns whether withdrawals are ordered in this step; otherwise a timer is set for the time when they are.
 
-        Withdrawals share the messages of updates that are due.
+        Updates wait for delayed withdrawals and share their messages.
         """
         requested_us = self.withdrawals.first_requested_us()
-        if requested_us is None or self._updates_due(now_us, batch):
+        if requested_us is None:
             return True
         queued_entries = batch.queued_entries + self.withdrawals.pending_cost()
-        due_us = requested_us + self._pacing.delay_us(now_us, queued_entries)
+        delay_us = self._pacing.delay_us(now_us, queued_entries, self._update_entries)
+        due_us = requested_us + delay_us
         if now_us >= due_us:
             return True
         self._withdrawal_wakeup.request(now_us, due_us, batch.actions)
         return False
 
+    def _max_binding_entries(self, now_us: int, withdrawals_due: bool) -> float:
+        """Returns the entries up to which bindings may fill the delivery queue without delaying pending withdrawals."""
+        requested_us = self.withdrawals.first_requested_us()
+        if requested_us is None:
+            return math.inf
+        if withdrawals_due:
+            return 0.0  # they wait for room in the delivery queue
+        max_entries = self._pacing.max_queued_entries(now_us, requested_us)
+        return max_entries - self.withdrawals.pending_cost()
+
     def _updates_due(self, now_us: int, batch: OrderBatch) -> bool:
         if batch.endpoint_orders:
             return True
@@ -148,8 +167,16 @@
             return False
         return now_us - self._updated_us >= UPDATE_PERIOD_US or self._admission_orders.is_urgent()
 
-    def _send_updates(self, now_us: int, batch: OrderBatch) -> None:
-        """Restores endpoints that have returned, then orders refills, admission ratios and table updates."""
+    def _send_updates(self, now_us: int, batch: OrderBatch, max_entries: float) -> None:
+        """Restores endpoints that have returned, then orders refills, admission ratios and table updates.
+
+        Args:
+            now_us: Time of the step, in microseconds.
+            batch: Batch that the orders are added to.
+            max_entries: Entries up to which ordinary updates may fill the delivery queue, so that withdrawals in the
+                same messages are in time.
+        """
+        entries_before = batch.queued_entries
         traffic = ProxyTraffic(self._bindings.origins, self._tables.subset_count)
         admitted_per_s = self._admission_orders.admitted_per_s()
         inputs = WeightInputs(now_us, traffic, admitted_per_s)
@@ -157,10 +184,11 @@
         self.withdrawals.restore_returned(batch, intended)
         refill = self._refill.send(batch, intended)
         self._admission_orders.send(now_us, batch, refill.fill_by_table)
-        self.urgent = self._updates.send(now_us, batch, intended)
+        self.urgent = self._updates.send(now_us, batch, intended, max_entries)
         self.withdrawals.restore_expired(now_us, batch)
         self._refill_cost = refill.missing_cost
         self._updated_us = now_us
+        self._update_entries = batch.queued_entries - entries_before
 
     def _send_checkpoint(self, now_us: int, batch: OrderBatch, entries: Counter[ProxyId]) -> None:
         self.checkpoint_id = (self.checkpoint_id + 1) % CHECKPOINT_IDS
--- a/kelpcourse/policy/table_updates.py
+++ b/kelpcourse/policy/table_updates.py
@@ -99,9 +99,21 @@
         scale = current_sum / max(MIN_DIVISOR, sum(weights[endpoint] for endpoint in present))
         return {endpoint: weight * scale for endpoint, weight in weights.items()}
 
-    def send(self, now_us: int, batch: OrderBatch, intended: Mapping[TableId, Weights]) -> bool:
+    def send(
+        self,
+        now_us: int,
+        batch: OrderBatch,
+        intended: Mapping[TableId, Weights],
+        max_entries: float,
+    ) -> bool:
         """Orders the changes that fit: decreases during warm-up, new entries, then the largest changes.
 
+        Args:
+            now_us: Time of the step, in microseconds.
+            batch: Batch that the orders are added to.
+            intended: Weights that each table is to have.
+            max_entries: Entries up to which changes other than decreases during warm-up may fill the delivery queue.
+
         Returns:
             Whether a decrease during warm-up did not fit in the delivery queue.
         """
@@ -111,7 +123,7 @@
             for change in self._changes_of(table, weights, now_us)
         ]
         changes.sort(key=_urgency)
-        ordinary_limit = self._limits.ordinary
+        ordinary_limit = min(self._limits.ordinary, max_entries)
         withdrawals = self._withdrawals
         if withdrawals.draining or (withdrawals.withdrawn and self._bindings.unbound_since_us):
             ordinary_limit = 0.0  # the other withdrawals or the bindings are sent first
--- a/kelpcourse/policy/withdrawal_pacing.py
+++ b/kelpcourse/policy/withdrawal_pacing.py
@@ -6,10 +6,10 @@
 from kelpcourse.policy.delivery import DeliveryTracker
 from kelpcourse.policy.settings import Settings
 
-# Parts of the message limit of a proxy from which withdrawals are delayed by a part of the time that they can wait.
-PACED_MESSAGE_SHARE = 0.5
-SCARCE_MESSAGE_SHARE = 0.75
-PACED_DELAY_SHARE = 0.5
+ORDER_MARGIN_US = 20_000  # from a change of the list to the call that orders the withdrawal
+
+# Part of the wait of a withdrawal that updates which share its messages may take in the delivery queue, at most.
+MAX_UPDATE_SHARE = 0.25
 
 
 class WithdrawalPacing:
@@ -19,20 +19,31 @@
         """Initializes the pacing with the tracker that counts the messages to each proxy."""
         self._delivery = delivery
         self._entries_per_us = settings.delivery_entries_per_s / US_PER_S
-        self._grace_us = settings.drain_grace_us - settings.max_transit_us
+        self._grace_us = settings.drain_grace_us - settings.max_transit_us - ORDER_MARGIN_US
 
-    def delay_us(self, now_us: int, queued_entries: float) -> int:
+    def delay_us(self, now_us: int, queued_entries: float, update_entries: float) -> int:
         """Returns the time in microseconds by which a withdrawal is delayed after it was requested.
 
-        Proxies are sent the withdrawal within the grace of a drain even after the whole delay.
+        Proxies are sent the withdrawal within the grace of a drain even after the delay. It is 0 as long as drains that
+        follow one another without end could each wait for that time and find a message left.
 
         Args:
             now_us: Time of the step, in microseconds.
             queued_entries: Entries in the delivery queue, including those of the withdrawal.
+            update_entries: Entries of the updates that share its messages.
         """
-        if self._delivery.within_message_budget(PACED_MESSAGE_SHARE, now_us):
+        wait_us = self._grace_us - queued_entries / self._entries_per_us
+        updates_us = update_entries / self._entries_per_us
+        max_delay_us = int(wait_us - min(updates_us, MAX_UPDATE_SHARE * wait_us))
+        if max_delay_us <= 0 or self._delivery.sustains_interval(max_delay_us, now_us):
             return 0
-        max_delay_us = max(0, int(self._grace_us - queued_entries / self._entries_per_us))
-        if self._delivery.within_message_budget(SCARCE_MESSAGE_SHARE, now_us):
-            return int(PACED_DELAY_SHARE * max_delay_us)
         return max_delay_us
+
+    def max_queued_entries(self, now_us: int, requested_us: int) -> float:
+        """Returns the entries that may be in the delivery queue when a withdrawal is ordered, for it to be in time.
+
+        Args:
+            now_us: Time of the step, in microseconds.
+            requested_us: Time at which the withdrawal was requested, in microseconds.
+        """
+        return (self._grace_us - (now_us - requested_us)) * self._entries_per_us
