Answer an update of a zone only when what its answer rests on is durable

Cause: updates are evaluated against the zone's head, which has updates that are not durable yet. One that changes nothing beside them, or fails a prerequisite on them, was answered at once. A failed write undid the first and left the second answered.

Change: such responses wait for the last update in the head (ZoneStore.when_head_durable) and are SERVFAIL if that is undone. As many may wait as updates, so a slow disk doesn't gather memory.

--- a/kelpcourse/zones/handler_context.py
+++ b/kelpcourse/zones/handler_context.py
@@ -3,13 +3,15 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import Protocol
 
 from kelpcourse.zones.update_policy import EndpointClass
 from kelpcourse.zones.versions import Difference
 from kelpcourse.zones.zone_state import ZoneState
 
+OnSettled = Callable[[bool], None]
+
 
 @dataclass(frozen=True)
 class PendingUpdate:
@@ -19,11 +21,20 @@
         zone: State of the updated zone.
         difference: The records that the update removes and adds.
         on_settled: Function that is called exactly once, with True if the update has become durable.
+        dependents: Functions that are called after `on_settled`, each exactly once and with the same argument: the
+            outcomes that they report were derived from a head that contains the update.
     """
 
     zone: ZoneState
     difference: Difference
-    on_settled: Callable[[bool], None]
+    on_settled: OnSettled
+    dependents: list[OnSettled] = field(default_factory=list)
+
+    def settle(self, durable: bool) -> None:
+        """Reports whether the update has become durable."""
+        self.on_settled(durable)
+        for on_settled in self.dependents:
+            on_settled(durable)
 
 
 class HandlerContext(Protocol):
@@ -42,5 +53,17 @@
     def stage(self, update: PendingUpdate) -> bool:
         """Queues an update to be made durable; returns False if it cannot be queued now."""
 
+    def when_head_durable(self, zone: ZoneState, on_settled: OnSettled) -> bool:
+        """Reports, once it is known, whether every update in the head of a zone has become durable.
+
+        Args:
+            zone: State of the zone.
+            on_settled: Function that is called exactly once if this method returns True; immediately if no update of
+                the zone is pending.
+
+        Returns:
+            False if too many callers wait; then `on_settled` is not called.
+        """
+
     def notify_received(self, origin: str) -> None:
         """Handles a NOTIFY message of a primary, which announces a new version of the zone with this origin."""
--- a/kelpcourse/zones/service.py
+++ b/kelpcourse/zones/service.py
@@ -8,7 +8,7 @@
 from kelpcourse.zones.dns_client import DnsClient
 from kelpcourse.zones.file_watcher import ZoneFileWatcher
 from kelpcourse.zones.follower import ZoneFollower
-from kelpcourse.zones.handler_context import PendingUpdate
+from kelpcourse.zones.handler_context import OnSettled, PendingUpdate
 from kelpcourse.zones.merged_list import MergedEndpointList
 from kelpcourse.zones.notifier import Notifier
 from kelpcourse.zones.persistence import ZoneChanged, ZoneConfirmed
@@ -135,6 +135,10 @@
         """Queues an update to be made durable; returns False if the update cannot be queued now."""
         return self.store.stage(update)
 
+    def when_head_durable(self, zone: ZoneState, on_settled: OnSettled) -> bool:
+        """Reports, once it is known, whether every update in the head of a zone has become durable."""
+        return self.store.when_head_durable(zone, on_settled)
+
     def notify_received(self, origin: str) -> None:
         """Requests that the follower of a zone queries its primaries."""
         self._followers[origin].notify()
--- a/kelpcourse/zones/update_handler.py
+++ b/kelpcourse/zones/update_handler.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
+from functools import partial
 
 import dns.rcode
 import dns.rdataclass
@@ -26,6 +27,8 @@
 # Number of remembered responses for each update that may be pending at a time.
 REMEMBERED_RESPONSES_PER_PENDING_UPDATE = 16
 
+Complete = Callable[[dns.rcode.Rcode], None]
+
 
 class UpdateHandler:
     """Checks updates, stages them to be made durable and responds to them."""
@@ -111,9 +114,6 @@
         def complete(rcode: dns.rcode.Rcode) -> None:
             self._deduplicator.complete(mac, rcode, self._context.now_us())
 
-        def on_settled(durable: bool) -> None:
-            complete(dns.rcode.NOERROR if durable else dns.rcode.SERVFAIL)
-
         if not zone.head.exists:
             complete(dns.rcode.SERVFAIL)
             return
@@ -121,19 +121,32 @@
             difference = self._evaluate(message, zone)
         except UpdateRejectedError as error:
             self._log_rejected(error, zone, grant)
-            complete(error.rcode)
+            self._complete_when_durable(zone, grant, error.rcode, complete)
             return
         if difference is None:
-            complete(dns.rcode.NOERROR)
+            self._complete_when_durable(zone, grant, dns.rcode.NOERROR, complete)
             return
         denied_reason = self._stage_in_head(difference, zone, grant, staged_us)
         if denied_reason:
             self.log_denied(zone.origin, denied_reason, grant.key)
-            complete(dns.rcode.REFUSED)
+            self._complete_when_durable(zone, grant, dns.rcode.REFUSED, complete)
             return
+        on_settled = partial(_report_outcome, complete, dns.rcode.NOERROR)
         if not self._context.stage(PendingUpdate(zone, difference, on_settled)):
             zone.undo_update(difference)
-            self._log.event("zone_update_throttled", zone=zone.origin, key=grant.key)
+            self._log_throttled(zone, grant)
+            complete(dns.rcode.SERVFAIL)
+
+    def _complete_when_durable(
+        self, zone: ZoneState, grant: UpdateGrant, rcode: dns.rcode.Rcode, complete: Complete
+    ) -> None:
+        """Completes an update that changes nothing with a response that was derived from the head.
+
+        The response waits until the head is durable: a crash or a failed write would take back what it rests on.
+        """
+        on_settled = partial(_report_outcome, complete, rcode)
+        if not self._context.when_head_durable(zone, on_settled):
+            self._log_throttled(zone, grant)
             complete(dns.rcode.SERVFAIL)
 
     def _evaluate(self, message: dns.update.UpdateMessage, zone: ZoneState) -> Difference | None:
@@ -154,6 +167,9 @@
         except ZoneError as error:
             return str(error)
 
+    def _log_throttled(self, zone: ZoneState, grant: UpdateGrant) -> None:
+        self._log.event("zone_update_throttled", zone=zone.origin, key=grant.key)
+
     def _log_rejected(
         self, error: UpdateRejectedError, zone: ZoneState, grant: UpdateGrant
     ) -> None:
@@ -164,3 +180,8 @@
             reason=str(error),
             rcode=dns.rcode.to_text(error.rcode),
         )
+
+
+def _report_outcome(complete: Complete, rcode: dns.rcode.Rcode, durable: bool) -> None:
+    """Completes an update with a response code, or with SERVFAIL if what it rests on was not made durable."""
+    complete(rcode if durable else dns.rcode.SERVFAIL)
--- a/kelpcourse/zones/zone_store.py
+++ b/kelpcourse/zones/zone_store.py
@@ -16,7 +16,7 @@
 from kelpcourse.store.folder import Folder
 from kelpcourse.store.journal import Journal
 from kelpcourse.wire.storage import DurableWriter, StorageThread
-from kelpcourse.zones.handler_context import PendingUpdate
+from kelpcourse.zones.handler_context import OnSettled, PendingUpdate
 from kelpcourse.zones.persistence import (
     Entry,
     ZoneChanged,
@@ -61,6 +61,9 @@
         self._runtime = runtime
         self._on_committed = on_committed
         self._unsaved_origins: set[str] = set()
+        # The latest staged update of each zone that has any, by origin.
+        self._last_staged: dict[str, PendingUpdate] = {}
+        self._waiting_dependents = 0
         # Unsaved zones that are part of the snapshot that is being written.
         self._origins_in_snapshot: set[str] = set()
         replay = ZoneReplay(
@@ -106,7 +109,26 @@
             self.save(update.zone, stored_zone(update.zone))
             if origin in self._unsaved_origins:
                 return False
-        return self._writer.stage(encode_entry(ZoneChanged(origin, update.difference)), update)
+        if not self._writer.stage(encode_entry(ZoneChanged(origin, update.difference)), update):
+            return False
+        self._last_staged[origin] = update
+        return True
+
+    def when_head_durable(self, zone: ZoneState, on_settled: OnSettled) -> bool:
+        """Reports, once it is known, whether every update in the head of a zone has become durable.
+
+        A failed write undoes all updates that were staged after the first one in it, so the outcome of the last staged
+        update is that of the head. Returns False if too many callers wait.
+        """
+        last_staged = self._last_staged.get(zone.origin)
+        if last_staged is None:
+            on_settled(True)
+            return True
+        if self._waiting_dependents >= self._runtime.limits.max_pending_dns_updates:
+            return False
+        self._waiting_dependents += 1
+        last_staged.dependents.append(on_settled)
+        return True
 
     def save(self, zone: ZoneState, entry: Entry) -> None:
         """Queues an entry for a version that is already current, or the whole zone if the zone is unsaved."""
@@ -170,14 +192,21 @@
         for ticket in reversed(settled.undone):
             if isinstance(ticket, PendingUpdate):
                 ticket.zone.undo_update(ticket.difference)
-                ticket.on_settled(False)
+                self._settle(ticket, False)
             else:
                 self._mark_unsaved(ticket.origin)
 
     def _commit(self, update: PendingUpdate) -> None:
         changes = update.zone.commit_update(update.difference, self._runtime.now_us())
         self._on_committed(update.zone, changes)
-        update.on_settled(True)
+        self._settle(update, True)
+
+    def _settle(self, update: PendingUpdate, durable: bool) -> None:
+        origin = update.zone.origin
+        if self._last_staged.get(origin) is update:
+            del self._last_staged[origin]
+        self._waiting_dependents -= len(update.dependents)
+        update.settle(durable)
 
     def _on_failed(self, reason: str, broken: bool) -> None:
         self._runtime.counters.add("store_failures")
--- a/tests/model_relay.py
+++ b/tests/model_relay.py
@@ -99,11 +99,12 @@
         self.users.pop(proxy.number, None)
 
     def restart_controller(self) -> None:
-        """Forgets the tables and withdrawals of the controller; proxies keep theirs."""
+        """Forgets the tables, withdrawals and queue of the controller, as WIRE tells; proxies keep their tables."""
         for proxy in self.proxies.values():
             self.leave(proxy)
         self.tables, self.ratios, self.withdrawn = {}, {}, set()
         self._events = []
+        self.queue_empty_us = 0.0
 
     def waiting_entries(self, now_us: int) -> float:
         """Returns the entries in the queue, heads included."""
--- a/tests/test_zone_request_handler.py
+++ b/tests/test_zone_request_handler.py
@@ -35,6 +35,9 @@
     def stage(self, update: object) -> bool:
         raise AssertionError("an unsigned update was staged")
 
+    def when_head_durable(self, zone: object, on_settled: object) -> bool:
+        raise AssertionError("an unsigned update was evaluated")
+
     def notify_received(self, origin: str) -> None:
         pass
 
--- a/tests/test_zone_store.py
+++ b/tests/test_zone_store.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import threading
+
 import dns.flags
 import dns.message
 import dns.rcode
@@ -13,8 +15,11 @@
 from kelpcourse.store.recovery import from_bytes
 from kelpcourse.zones.persistence import ZoneReplay
 from tests.zonerig import (
+    KEY,
+    SUBMIT,
     World,
     added_endpoint,
+    room_a_removal,
     start_primary,
     update_message,
 )
@@ -56,13 +61,19 @@
     assert sorted(zone_state.zone.records()) == final
 
 
+BLOCKED_TIMEOUT_S = 60.0
+
+
 class FaultyFolder(Folder):
-    """A folder whose writes or syncs fail if the test sets the flag."""
+    """A folder whose writes or syncs fail if the test sets the flag, or wait while it blocks them."""
 
     disk_full = False
     sync_fails = False
+    blocked = threading.Event()  # writes wait until it is set
+    blocked.set()
 
     def write(self, fd: int, data: bytes, offset: int) -> None:
+        FaultyFolder.blocked.wait(BLOCKED_TIMEOUT_S)
         if FaultyFolder.disk_full:
             raise OSError(28, "No space left on device")
         super().write(fd, data, offset)
@@ -105,3 +116,76 @@
     assert (node.serial, len(node.statuses)) == (2, 5)
     node.kill()
     assert set(world.node(node.path).statuses) == {"s-0", "s-1", "s-2", "s-3", "s-9"}
+
+
+# Updates that are sent after one that adds s-9, and their responses if that one becomes durable.
+DERIVED_RESPONSES = [
+    pytest.param(added_endpoint("s-9"), NOERROR, id="no_change"),
+    pytest.param([("present", "s-9"), *added_endpoint("s-9")], NOERROR, id="prerequisite_holds"),
+    pytest.param([("absent", "s-9"), *added_endpoint("s-9")], dns.rcode.YXDOMAIN, id="fails"),
+    pytest.param(room_a_removal(), REFUSED, id="denied"),
+]
+
+
+@pytest.mark.parametrize("tcp", [False, True], ids=["udp", "tcp"])
+@pytest.mark.parametrize(("derived", "rcode"), DERIVED_RESPONSES)
+def test_a_response_derived_from_a_pending_update_waits_until_that_is_durable(
+    world: World, derived: list[tuple[str, ...]], rcode: dns.rcode.Rcode, tcp: bool
+) -> None:
+    """Guards against NOERROR for an update whose records a kill takes back, as they were only staged by another one."""
+    node, client = start_primary(world, update="most=0.5", classes=(SUBMIT,))
+    first = client.send(update_message(*added_endpoint("s-9")).to_wire(), tcp)
+    second = client.send(update_message(*derived).to_wire(), tcp)
+    response = client.receive(second, tcp)
+    assert (response[3] & 15, node.serial) == (rcode, 2)
+    node.kill()
+    assert "s-9" in world.node(node.path).statuses
+    first.close()
+
+
+@pytest.mark.parametrize("tcp", [False, True], ids=["udp", "tcp"])
+@pytest.mark.parametrize(("derived", "rcode"), DERIVED_RESPONSES)
+def test_a_response_derived_from_an_update_that_fails_is_servfail(
+    world: World,
+    monkeypatch: pytest.MonkeyPatch,
+    derived: list[tuple[str, ...]],
+    rcode: dns.rcode.Rcode,
+    tcp: bool,
+) -> None:
+    """Guards against NOERROR for an update whose records a full disk takes back."""
+    monkeypatch.setattr("kelpcourse.zones.zone_store.Folder", FaultyFolder)
+    node, client = start_primary(world, update="most=0.5", classes=(SUBMIT,))
+    monkeypatch.setattr(FaultyFolder, "disk_full", True)
+    sent = [
+        client.send(update_message(*calls).to_wire(), tcp)
+        for calls in (added_endpoint("s-9"), derived)
+    ]
+    assert [client.receive(sock, tcp)[3] & 15 for sock in sent] == [dns.rcode.SERVFAIL] * 2
+    assert node.serial == 1
+    monkeypatch.setattr(FaultyFolder, "disk_full", False)
+    assert client.update(*added_endpoint("s-9")) == NOERROR
+    assert client.update(*derived) == rcode
+
+
+def test_responses_that_wait_for_the_disk_are_limited(
+    world: World, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr("kelpcourse.zones.zone_store.Folder", FaultyFolder)
+    node, client = start_primary(world)
+    max_waiting = LIMITS.max_pending_dns_updates
+    monkeypatch.setattr(FaultyFolder, "blocked", threading.Event())
+    first = client.send(update_message(*added_endpoint("s-9")).to_wire())
+    world.run_until(lambda: node.disk_is_busy)
+    message = update_message(*added_endpoint("s-9"))
+    sent = []
+    for count in range(max_waiting + 3):
+        message.use_tsig(KEY, fudge=300 + count)  # another MAC each time
+        sent.append(client.send(message.to_wire()))
+        while node.counters["zone_updates"] < count + 2:
+            world.run_once()
+    assert [client.receive(sock)[3] & 15 for sock in sent[max_waiting:]] == [2, 2, 2]
+    assert node.counters["dns_noerror"] == 0
+    FaultyFolder.blocked.set()
+    assert [client.receive(sock)[3] & 15 for sock in (first, *sent[:max_waiting])] == (
+        [NOERROR] * (max_waiting + 1)
+    )
