Verify the signature of a DNS update before it is parsed, and bound what a query may hold

Change: kelpcourse.zones.message_screening. A message that is no update has a maximum of 2,048 bytes and four records.

--- a/kelpcourse/zones/errors.py
+++ b/kelpcourse/zones/errors.py
@@ -243,3 +243,16 @@
     def __init__(self) -> None:
         """Initializes the error with a fixed message."""
         super().__init__("the settings have no state folder, so no former version is stored")
+
+
+class TruncatedMessageError(ZoneError):
+    """Raised when a DNS message ends within a record.
+
+    Attributes:
+        size_bytes: Size of the message, in bytes.
+    """
+
+    def __init__(self, size_bytes: int) -> None:
+        """Initializes the error with the size of the message."""
+        super().__init__(f"message of {size_bytes} bytes ends within a record")
+        self.size_bytes = size_bytes
--- a/kelpcourse/zones/request_handler.py
+++ b/kelpcourse/zones/request_handler.py
@@ -28,6 +28,12 @@
     header_response,
 )
 from kelpcourse.zones.handler_context import HandlerContext
+from kelpcourse.zones.message_screening import (
+    find_signature,
+    is_oversized_query,
+    opcode_of,
+    verify,
+)
 from kelpcourse.zones.notify_handler import NotifyHandler
 from kelpcourse.zones.query_handler import QueryHandler
 from kelpcourse.zones.settings import ZoneSettings, format_address
@@ -86,26 +92,43 @@
             self._counters.add("dns_dropped")
             send(())
             return
-        if _is_unsigned_update(wire):
-            self._updates.log_denied("", "not signed", "")
-            send([header_response(wire, dns.rcode.REFUSED)])
-            return
         try:
+            if not self._passes_screening(wire, peer, send):
+                return
             message = dns.message.from_wire(wire, keyring=self._key_ring, one_rr_per_rrset=True)
         except SIGNATURE_ERRORS as error:
             self._reject_signature(wire, error, peer, send)
             return
         except (dns.exception.DNSException, ValueError, IndexError) as error:
-            self._counters.add("dns_messages_rejected")
-            self._log.event(
-                "dns_message_rejected",
-                peer=format_address(peer),
-                reason=f"{type(error).__name__}: {error}",
-            )
-            send([header_response(wire, dns.rcode.FORMERR)])
+            self._reject_message(wire, f"{type(error).__name__}: {error}", peer, send)
             return
         self._dispatch(DnsRequest(message, peer, over_tcp, send))
 
+    def _passes_screening(self, wire: bytes, peer: Address, send: SendMessages) -> bool:
+        """Returns whether a message is to be parsed; otherwise its response has been sent.
+
+        Raises:
+            TruncatedMessageError: The message ends within a record.
+            DNSException: The message is malformed or its signature is invalid.
+        """
+        if opcode_of(wire) != dns.opcode.UPDATE:
+            if is_oversized_query(wire):
+                self._reject_message(wire, "too large for a query", peer, send)
+                return False
+            return True
+        signature = find_signature(wire)
+        if signature is None:
+            self._updates.log_denied("", "not signed", "")
+            send([header_response(wire, dns.rcode.REFUSED)])
+            return False
+        verify(wire, signature, self._key_ring)
+        return True
+
+    def _reject_message(self, wire: bytes, reason: str, peer: Address, send: SendMessages) -> None:
+        self._counters.add("dns_messages_rejected")
+        self._log.event("dns_message_rejected", peer=format_address(peer), reason=reason)
+        send([header_response(wire, dns.rcode.FORMERR)])
+
     def _dispatch(self, request: DnsRequest) -> None:
         message = request.message
         if message.edns > 0:
@@ -131,13 +154,3 @@
         )
         response = signature_error_response(wire, rcode, self._key_ring)
         send([response] if response is not None else ())
-
-
-def _is_unsigned_update(wire: bytes) -> bool:
-    """Returns whether the header is that of an update without additional records and therefore without a signature.
-
-    Such a message is rejected without being parsed, so that a flood of them costs little.
-    """
-    opcode = wire[2] >> 3 & 15
-    has_no_additional_records = wire[10:12] == b"\0\0"
-    return opcode == dns.opcode.UPDATE and has_no_additional_records
--- a/kelpcourse/zones/signatures.py
+++ b/kelpcourse/zones/signatures.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import time
-from collections.abc import Mapping
 from typing import Any
 
 import dns.exception
@@ -16,6 +15,8 @@
 import dns.rrset
 import dns.tsig
 
+from kelpcourse.zones.message_screening import KeyRing, find_signature, without_records
+
 RCODE_BY_ERROR: tuple[tuple[type[Exception], dns.rcode.Rcode], ...] = (
     (dns.tsig.BadTime, dns.rcode.BADTIME),
     (dns.tsig.BadSignature, dns.rcode.BADSIG),
@@ -25,8 +26,6 @@
 )
 SIGNATURE_ERRORS = tuple(error_type for error_type, _ in RCODE_BY_ERROR)
 
-KeyRing = Mapping[dns.name.Name, dns.tsig.Key]
-
 
 def signature_rcode(error: Exception) -> dns.rcode.Rcode:
     """Returns the TSIG error code of one of `SIGNATURE_ERRORS`."""
@@ -40,7 +39,10 @@
     this case the client has proved that it knows the secret.
     """
     try:
-        query = dns.message.from_wire(wire, keyring=False)
+        signature = find_signature(wire)
+        if signature is None:
+            return None
+        query = dns.message.from_wire(without_records(wire, signature), keyring=False)
     except (dns.exception.DNSException, ValueError):
         return None
     if query.keyname is None or query.tsig is None:
