Serve DNS clients in turn, so that one at full speed doesn't keep the others waiting

Datagrams were handled in order of arrival, and the system drops everybody's while the socket's buffer is full. A TCP connection whose read buffer had grown was served until the buffer was empty, up to 64 KiB of requests.

Change: datagrams are moved from the socket ahead of each request that is handled, and taken client by client (kelpcourse.zones.datagram_queue); a client has a 32nd of the queue and loses its oldest. A turn ends after 16 requests or 5 ms. On TCP other tasks run after each request. New counter: dns_datagrams_dropped.

--- a/kelpcourse/zones/server.py
+++ b/kelpcourse/zones/server.py
@@ -31,7 +31,7 @@
             OSError: The address cannot be bound.
         """
         udp_socket, tcp_socket = bind_udp_and_tcp(listen_address, limits.listen_backlog)
-        self._udp = UdpServer(udp_socket, limits, counters, handler)
+        self._udp = UdpServer(udp_socket, loop.clock, limits, counters, handler)
         self._tcp = TcpServer(tcp_socket, loop, limits, counters, log, handler)
 
     @property
--- a/kelpcourse/zones/tcp_server.py
+++ b/kelpcourse/zones/tcp_server.py
@@ -167,8 +167,9 @@
         connection.buffer.commit(count)
         for message in connection.buffer.length_prefixed_messages():
             self._handle(connection, bytes(message))
-            # Queued responses are sent before another request is handled.
+            # Queued responses are sent, and the requests of other clients served, before another request is handled.
             yield from self._send_responses(connection)
+            yield Wait(0)
         if connection.buffer.pending_bytes and connection.partial_since_us is None:
             connection.partial_since_us = self._loop.clock()
         if self._loop.clock() >= connection.deadline_us(self._limits):
--- a/tests/test_zone_floods.py
+++ b/tests/test_zone_floods.py
@@ -2,12 +2,18 @@
 
 from __future__ import annotations
 
+import contextlib
+import socket
+from collections.abc import Iterator
+
 import dns.message
 import dns.rcode
 import dns.tsig
 import pytest
 
+from kelpcourse.zones.datagram_queue import CLIENT_SHARE_DIVISOR, Datagram, DatagramQueue
 from kelpcourse.zones.message_screening import MAX_QUERY_BYTES
+from kelpcourse.zones.tcp_framing import frame
 from tests.zonerig import (
     KEY,
     OTHER_SECRET_KEY,
@@ -15,8 +21,11 @@
     start_primary,
     update_message,
 )
-from tests.zonesamples import ORIGIN
+from tests.zonesamples import LIMITS, ORIGIN
 
+FLOOD = 150  # requests of one client that are sent before those of another
+# Requests that may be handled before that of another client: those of the turn in which it is read.
+MAX_OVERTAKEN = 2 * LIMITS.max_dns_requests_per_turn
 NOERROR = dns.rcode.NOERROR
 
 
@@ -69,3 +78,56 @@
     node, client = start_primary(world)
     assert client.receive(client.send(large_update(key=KEY), True), True)[3] & 15 == NOERROR
     assert len(node.zones.zone_states[ORIGIN].zone) > 1_000
+
+
+def test_a_request_over_udp_does_not_wait_for_those_of_another_client(world: World) -> None:
+    """Guards against answers that come late or never while another client sends at full speed."""
+    node, client = start_primary(world)
+    handled = node.counters["dns_messages"]
+    query = dns.message.make_query(ORIGIN, "SOA").to_wire()
+    with connected_udp(node.address) as flooding:
+        for _ in range(FLOOD):
+            flooding.send(query)
+        assert client.query(ORIGIN, "SOA").rcode() == NOERROR
+    assert node.counters["dns_messages"] - handled <= MAX_OVERTAKEN
+
+
+def test_a_request_over_tcp_does_not_wait_for_those_of_another_client(world: World) -> None:
+    """Guards against answers that come late while another client has sent many requests on one connection."""
+    node, client = start_primary(world)
+    handled = node.counters["dns_messages"]
+    query = frame(dns.message.make_query(ORIGIN, "SOA").to_wire())
+    with socket.create_connection(node.address) as flooding:
+        # The read buffer has grown to the size of the first message when it reads the others.
+        flooding.sendall(frame(bytes(60_000)) + query * 2_000)
+        world.run_until(lambda: node.counters["dns_messages"] > handled)
+        assert client.query(ORIGIN, "SOA", tcp=True).rcode() == NOERROR
+        assert client.query(ORIGIN, "SOA").rcode() == NOERROR
+    assert node.counters["dns_messages"] - handled <= MAX_OVERTAKEN
+
+
+@contextlib.contextmanager
+def connected_udp(address: tuple[str, int]) -> Iterator[socket.socket]:
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sock:
+        sock.connect(address)
+        yield sock
+
+
+def test_datagrams_of_one_client_take_a_part_of_the_queue_and_the_oldest_are_dropped() -> None:
+    queue = DatagramQueue(CLIENT_SHARE_DIVISOR * 2, CLIENT_SHARE_DIVISOR * 10)
+    first, second = ("127.0.0.1", 1), ("127.0.0.1", 2)
+    assert [queue.put(Datagram(bytes([k]), first)) for k in range(4)] == [0, 0, 1, 1]
+    assert queue.put(Datagram(b"x" * 10, second)) == 0
+    assert queue.put(Datagram(b"y", second)) == 1  # too large beside the other one
+    taken = [queue.take() for _ in range(len(queue))]
+    assert taken == [Datagram(b"\x02", first), Datagram(b"y", second), Datagram(b"\x03", first)]
+
+
+def test_a_full_queue_of_datagrams_stays_within_its_limits() -> None:
+    queue = DatagramQueue(64, 640)
+    for port in range(200):
+        for size in (1, 15, 30):
+            queue.put(Datagram(b"x" * size, ("127.0.0.1", port)))
+            assert len(queue) <= 64
+    total_bytes = sum(len(queue.take().wire) for _ in range(len(queue)))
+    assert total_bytes <= 640
