Limit what waits for the outcome of a DNS update, and keep its records once

Each repetition was queued for the outcome with its parsed message; 256 updates that wait kept theirs, a few MB each at the maximum size.

Measured: the new test counts the responses of 1,001 requests with one signature; without the limit there is none before the outcome.

--- a/kelpcourse/zones/deduplication.py
+++ b/kelpcourse/zones/deduplication.py
@@ -21,9 +21,15 @@
 class UpdateDeduplicator:
     """Tracks the responses to recent updates, and the requests whose update is pending."""
 
-    def __init__(self, max_responses: int) -> None:
-        """Initializes a deduplicator that keeps the latest responses, `max_responses` at most."""
+    def __init__(self, max_responses: int, max_waiting_repetitions: int) -> None:
+        """Initializes a deduplicator.
+
+        Args:
+            max_responses: Maximum number of responses that are kept, the latest ones.
+            max_waiting_repetitions: Maximum number of repetitions that wait for the outcome of one update.
+        """
         self._max_responses = max_responses
+        self._max_waiting_repetitions = max_waiting_repetitions
         self._responses: OrderedDict[bytes, tuple[int, dns.rcode.Rcode]] = OrderedDict()
         self._pending: dict[bytes, list[SendResponse]] = {}
 
@@ -35,11 +41,15 @@
         """Registers a request and returns whether its update is new and therefore to be applied.
 
         In both cases `send_response` is called with the response to the first request that has this MAC: immediately
-        if there is one already, otherwise on completion of the update.
+        if there is one already, otherwise on completion of the update. A repetition beyond the limit of those that wait
+        gets SERVFAIL.
         """
         self._forget_old(now_us)
         if mac in self._pending:
-            self._pending[mac].append(send_response)
+            if len(self._pending[mac]) > self._max_waiting_repetitions:
+                send_response(dns.rcode.SERVFAIL)
+            else:
+                self._pending[mac].append(send_response)
             return False
         if mac in self._responses:
             _, rcode = self._responses[mac]
--- a/kelpcourse/zones/update_handler.py
+++ b/kelpcourse/zones/update_handler.py
@@ -61,7 +61,8 @@
         self._context = context
         self._responder = responder
         self._deduplicator = UpdateDeduplicator(
-            limits.max_pending_dns_updates * REMEMBERED_RESPONSES_PER_PENDING_UPDATE
+            limits.max_pending_dns_updates * REMEMBERED_RESPONSES_PER_PENDING_UPDATE,
+            limits.max_waiting_dns_repetitions,
         )
 
     def handle(self, request: DnsRequest, message: dns.update.UpdateMessage) -> None:
@@ -88,8 +89,9 @@
 
         if not self._deduplicator.register(mac, self._context.now_us(), send_response):
             self._counters.add("zone_updates_deduplicated")
-            return
-        self._apply(message, zone, grant)
+        else:
+            self._apply(message, zone, grant)
+        _release_records(message)
 
     def log_denied(self, origin: str, reason: str, key_name: str) -> None:
         """Counts and logs an update that the update policy denies."""
@@ -185,3 +187,11 @@
 def _report_outcome(complete: Complete, rcode: dns.rcode.Rcode, durable: bool) -> None:
     """Completes an update with a response code, or with SERVFAIL if what it rests on was not made durable."""
     complete(rcode if durable else dns.rcode.SERVFAIL)
+
+
+def _release_records(message: dns.update.UpdateMessage) -> None:
+    """Removes what a response doesn't need, because a large update may wait for the disk together with many others."""
+    message.prerequisite.clear()
+    message.update.clear()
+    message.index.clear()
+    message.wire = None
--- a/tests/test_zone_floods.py
+++ b/tests/test_zone_floods.py
@@ -12,6 +12,7 @@
 import pytest
 
 from kelpcourse.zones.datagram_queue import CLIENT_SHARE_DIVISOR, Datagram, DatagramQueue
+from kelpcourse.zones.deduplication import UpdateDeduplicator
 from kelpcourse.zones.message_screening import MAX_QUERY_BYTES
 from kelpcourse.zones.tcp_framing import frame
 from tests.zonerig import (
@@ -131,3 +132,16 @@
             assert len(queue) <= 64
     total_bytes = sum(len(queue.take().wire) for _ in range(len(queue)))
     assert total_bytes <= 640
+
+
+def test_repetitions_that_wait_for_an_update_are_limited() -> None:
+    """Guards against memory that grows while an update that waits for the disk is sent again at full speed."""
+    deduplicator = UpdateDeduplicator(100, LIMITS.max_waiting_dns_repetitions)
+    rcodes: list[dns.rcode.Rcode] = []
+    assert deduplicator.register(b"mac", 0, rcodes.append)
+    for _ in range(1_000):
+        assert not deduplicator.register(b"mac", 0, rcodes.append)
+    waiting = 1 + LIMITS.max_waiting_dns_repetitions
+    assert rcodes == [dns.rcode.SERVFAIL] * (1_001 - waiting)
+    deduplicator.complete(b"mac", NOERROR, 0)
+    assert rcodes[-waiting:] == [NOERROR] * waiting
