Bound what clients and peers can take of a member of shared controllers

A peer that sends without pause kept every other task from running, so leases and elections waited. What a member had written on a connection that it left was handled after what it wrote on its new one.

Change: kelpcourse.shared.incoming_peers, split from peers. Until Hello a message has 1,024 bytes and 256 connections may wait, the oldest is closed for a new one; incomplete messages of all peers have 64 MiB together; other tasks run after each message; a Hello closes the former connection of the same member.

--- a/kelpcourse/limits.py
+++ b/kelpcourse/limits.py
@@ -287,6 +287,9 @@
     Attributes:
         max_peer_connections: Maximum number of incoming connections: two from each of more than a thousand
             controllers.
+        max_peer_handshakes: Maximum number of incoming connections whose member is not known yet.
+        max_peer_hello_bytes: Maximum size, in bytes, of the first message of a connection.
+        max_peer_buffers_bytes: Maximum size, in bytes, of the incomplete messages of all incoming connections.
         max_queued_peer_messages: Maximum number of queued messages to one peer.
         max_peer_message_bytes: Maximum size, in bytes, of a message between controllers.
         peer_handshake_timeout_us: Time limit, in microseconds, of the handshake of a connection.
@@ -295,6 +298,9 @@
     """
 
     max_peer_connections: int = 2_048
+    max_peer_handshakes: int = 256
+    max_peer_hello_bytes: int = 1_024
+    max_peer_buffers_bytes: int = 64 << 20
     max_queued_peer_messages: int = 1_024
     max_peer_message_bytes: int = 8 << 20
     peer_handshake_timeout_us: int = 2_000_000
--- a/kelpcourse/shared/member.py
+++ b/kelpcourse/shared/member.py
@@ -20,7 +20,8 @@
     PeerMessage,
 )
 from kelpcourse.shared.errors import MembershipChangeError, NotLeaderError
-from kelpcourse.shared.peers import Peers, TlsContexts, member_name
+from kelpcourse.shared.peer_identity import TlsContexts, member_name
+from kelpcourse.shared.peers import Peers
 from kelpcourse.shared.placement import GroupId
 from kelpcourse.shared.raft.messages import Configuration, MemberId
 from kelpcourse.shared.raft.role import Role
--- a/kelpcourse/shared/peers.py
+++ b/kelpcourse/shared/peers.py
@@ -7,46 +7,25 @@
 
 from __future__ import annotations
 
-import ssl
 from collections import deque
 from collections.abc import Callable, Mapping
-from dataclasses import dataclass
 
 from kelpcourse.limits import Limits
 from kelpcourse.memory.counters import Counters
 from kelpcourse.shared.controller_events import PeerMessage
-from kelpcourse.shared.errors import PeerMessageError
-from kelpcourse.shared.peer_codec import (
-    AddressedMessage,
-    Hello,
-    UnsupportedMessage,
-    decode,
-    encode,
-)
-from kelpcourse.shared.peer_framing import MessageReader, with_length_prefix
+from kelpcourse.shared.incoming_peers import IncomingPeers
+from kelpcourse.shared.peer_codec import Hello, encode
+from kelpcourse.shared.peer_framing import with_length_prefix
+from kelpcourse.shared.peer_identity import TlsContexts, member_name
 from kelpcourse.shared.raft.messages import MemberId
 from kelpcourse.wire.errors import StreamError, StreamTimeoutError
-from kelpcourse.wire.loop import READ, Coroutine, Loop, Signal, Task, Wait, WakeReason
+from kelpcourse.wire.loop import READ, Coroutine, Loop, Signal, Wait, WakeReason
 from kelpcourse.wire.runtime import Backoff, EventLog
 from kelpcourse.wire.stream import Address, Stream, connect, listen
 from kelpcourse.wire.tls import TlsStream
 
 # Size of the read buffer of outgoing connections, on which peers send nothing but the end of the connection.
 CLOSE_CHECK_BUFFER_BYTES = 512
-MEMBER_TOKEN_SEPARATOR = "@"
-
-
-@dataclass(frozen=True)
-class TlsContexts:
-    """TLS contexts for incoming and outgoing connections, replaced when certificates are renewed."""
-
-    server: ssl.SSLContext
-    client: ssl.SSLContext
-
-
-def member_name(member: MemberId) -> str:
-    """Returns a member's name without the token of its state folder."""
-    return member.partition(MEMBER_TOKEN_SEPARATOR)[0]
 
 
 class OutboundQueue:
@@ -75,7 +54,6 @@
     """All connections of one member.
 
     Attributes:
-        members: Member that sent the latest valid `Hello` under each name.
         address: Address on which this member listens.
     """
 
@@ -113,27 +91,38 @@
         self._log = log
         self._member_id = member_id
         self._tls = tls
-        self._on_message = on_message
         self._queues = {
             name: OutboundQueue(name, peer_address, limits.max_queued_peer_messages)
             for name, peer_address in peer_addresses.items()
         }
-        self.members: dict[str, MemberId] = {}
         self._socket = listen(address, limits.listen_backlog)
-        self._connection_count = 0
-        self._incoming_tasks: list[Task] = []
+        self._incoming = IncomingPeers(
+            loop,
+            limits,
+            counters,
+            log,
+            member_id,
+            self._queues.keys(),
+            self._socket,
+            tls,
+            on_message,
+        )
         self.address: Address = self._socket.getsockname()[:2]
 
+    @property
+    def members(self) -> Mapping[str, MemberId]:
+        """Member that sent the latest valid `Hello` under each name."""
+        return self._incoming.members
+
     def start(self, supervise: Callable[[str, Callable[[], Coroutine[None]]], None]) -> None:
         """Starts the coroutines; `supervise` restarts one that fails."""
-        supervise("peers in", self._accept)
+        supervise("peers in", self._incoming.accept)
         for queue in self._queues.values():
             supervise("peer out", lambda queue=queue: self._send_all(queue))  # type: ignore[misc]
 
     def close(self) -> None:
         """Closes the listening socket and stops the coroutines of incoming connections."""
-        for task in self._incoming_tasks:
-            self._loop.stop(task)
+        self._incoming.close()
         self._socket.close()
 
     def send(self, recipient: MemberId, message: PeerMessage) -> None:
@@ -209,79 +198,3 @@
         frame = with_length_prefix(data)
         yield from stream.send(frame, self._loop.clock() + self._limits.send_timeout_us)
         self._counters.add("peer_bytes_out", len(frame))
-
-    # Incoming connections
-
-    def _accept(self) -> Coroutine[None]:
-        while True:
-            yield Wait(fd=self._socket.fileno(), event_mask=READ)
-            try:
-                connection, _ = self._socket.accept()
-            except (BlockingIOError, ConnectionAbortedError):
-                continue
-            except OSError as error:
-                self._log.event(
-                    "descriptors_exhausted", reason=str(error), connections=self._connection_count
-                )
-                yield Wait(self._loop.clock() + self._limits.accept_retry_us)
-                continue
-            if self._connection_count >= self._limits.max_peer_connections:
-                connection.close()
-                continue
-            self._incoming_tasks = [task for task in self._incoming_tasks if task.wait is not None]
-            task = self._loop.start("peer in", self._receive_all(Stream(connection)))
-            self._incoming_tasks.append(task)
-
-    def _receive_all(self, stream: Stream) -> Coroutine[None]:
-        self._connection_count += 1
-        clock = self._loop.clock
-        deadline_us = clock() + self._limits.peer_handshake_timeout_us
-        try:
-            tls = self._tls()
-            certified_name = None
-            if tls is not None:
-                stream = TlsStream(stream, tls.server, True)
-                yield from stream.handshake(deadline_us)
-                certified_name = stream.peer_name()
-            reader = MessageReader(stream, self._limits)
-            hello = self._decode((yield from reader.next(deadline_us)))
-            self._check_hello(hello, certified_name)
-            while True:
-                silence_deadline_us = clock() + self._limits.peer_silence_timeout_us
-                message = self._decode((yield from reader.next(silence_deadline_us)))
-                self._handle(message, hello.sender)
-        except (StreamError, PeerMessageError) as error:
-            self._counters.add("peer_connections_closed")
-            self._log.event("peer_connection_closed", reason=str(error))
-        finally:
-            self._connection_count -= 1
-            stream.close()
-
-    def _decode(self, data: bytes) -> AddressedMessage:
-        self._counters.add("peer_messages_in")
-        return decode(data)
-
-    def _check_hello(self, message: AddressedMessage, certified_name: str | None) -> None:
-        name = member_name(message.sender)
-        if not isinstance(message.body, Hello) or message.body.member != message.sender:
-            raise PeerMessageError("the first message is not a Hello of its sender")
-        if name not in self._queues:
-            raise PeerMessageError(f"{name!r:.60} is not a member in the settings")
-        if certified_name is not None and certified_name != name:
-            raise PeerMessageError(
-                f"{name!r:.60} presented the certificate of {certified_name!r:.60}"
-            )
-        self.members[name] = message.sender
-
-    def _handle(self, message: AddressedMessage, connected_member: MemberId) -> None:
-        if message.sender != connected_member:
-            raise PeerMessageError(
-                f"message from {message.sender!r:.60} on the connection of {connected_member!r:.60}"
-            )
-        if isinstance(message.body, UnsupportedMessage | Hello):
-            self._counters.add("peer_messages_unknown")
-        elif message.recipient != self._member_id:
-            # The recipient has the name of this member but another state folder, so it is another member.
-            self._counters.add("peer_messages_misrouted")
-        else:
-            self._on_message(connected_member, message.body)
--- a/kelpcourse/shared/settings.py
+++ b/kelpcourse/shared/settings.py
@@ -35,7 +35,7 @@
 from kelpcourse.shared.controller_events import ControllerOptions
 from kelpcourse.shared.errors import CertificateError
 from kelpcourse.shared.lease_timing import LeaseTiming
-from kelpcourse.shared.peers import TlsContexts
+from kelpcourse.shared.peer_identity import TlsContexts
 from kelpcourse.shared.raft.options import RaftOptions
 from kelpcourse.wire.errors import InvalidMessageError
 from kelpcourse.wire.stream import Address
--- a/kelpcourse/shared/standalone.py
+++ b/kelpcourse/shared/standalone.py
@@ -16,7 +16,7 @@
 from kelpcourse.service.process import Process
 from kelpcourse.shared.errors import RequestRejectedError
 from kelpcourse.shared.member import FleetMember, MemberSettings
-from kelpcourse.shared.peers import TlsContexts
+from kelpcourse.shared.peer_identity import TlsContexts
 from kelpcourse.shared.settings import EXPIRY_WARNING_DAYS, SharedSettings, read_settings
 from kelpcourse.store.spool import send_command, take_commands, write_atomically
 from kelpcourse.wire.loop import Coroutine, Wait
--- a/tests/member_rig.py
+++ b/tests/member_rig.py
@@ -16,7 +16,7 @@
 )
 from kelpcourse.shared.lease_timing import LeaseTiming
 from kelpcourse.shared.member import FleetMember, MemberSettings
-from kelpcourse.shared.peers import TlsContexts
+from kelpcourse.shared.peer_identity import TlsContexts
 from kelpcourse.shared.raft.options import RaftOptions
 from kelpcourse.wire.loop import Loop
 from kelpcourse.wire.storage import StorageThread
