Drop the DNS requests of a client that has reset its TCP connection

On TCP a read buffer can hold many updates; those after the current one were applied although the client had closed its connection with answers unread, and so after what it had sent since on another connection.

Change: before each request of a connection the socket's pending error is looked at. A client that only ends its own side still gets all its answers.

Measured: of 200 updates behind one that is handled, further ones were applied after the reset before (the test fails) and at most one, read in the same turn, after.

--- a/kelpcourse/wire/stream.py
+++ b/kelpcourse/wire/stream.py
@@ -60,6 +60,16 @@
             except OSError as error:
                 raise StreamError(f"write failed: {error.strerror}") from error
 
+    def check_not_reset(self) -> None:
+        """Checks that the peer has not reset the connection, as it does if it closes with unread data.
+
+        Raises:
+            StreamError: The peer has reset the connection.
+        """
+        error_number = self.sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+        if error_number:
+            raise StreamError(f"connection failed: {os.strerror(error_number)}")
+
     def is_stale(self) -> bool:
         """Returns whether the peer of an idle connection has closed it or sent unsolicited data."""
         try:
--- a/kelpcourse/zones/tcp_server.py
+++ b/kelpcourse/zones/tcp_server.py
@@ -166,6 +166,7 @@
             return False
         connection.buffer.commit(count)
         for message in connection.buffer.length_prefixed_messages():
+            connection.stream.check_not_reset()
             self._handle(connection, bytes(message))
             # Queued responses are sent, and the requests of other clients served, before another request is handled.
             yield from self._send_responses(connection)
--- a/tests/test_zone_floods.py
+++ b/tests/test_zone_floods.py
@@ -4,6 +4,7 @@
 
 import contextlib
 import socket
+import struct
 from collections.abc import Iterator
 
 import dns.message
@@ -19,6 +20,7 @@
     KEY,
     OTHER_SECRET_KEY,
     World,
+    added_endpoint,
     start_primary,
     update_message,
 )
@@ -107,6 +109,23 @@
     assert node.counters["dns_messages"] - handled <= MAX_OVERTAKEN
 
 
+def test_requests_of_a_client_that_has_reset_its_connection_are_dropped(world: World) -> None:
+    """Guards against an update that takes effect after what the client has sent since on another connection."""
+    node, client = start_primary(world)
+    updates = [
+        frame(update_message(("add", f"n-{number}", "60", "A", "127.0.0.1")).to_wire())
+        for number in range(200)
+    ]
+    leaving = socket.create_connection(node.address)
+    leaving.sendall(frame(bytes(60_000)) + b"".join(updates))
+    world.run_until(lambda: node.counters["zone_updates"])
+    leaving.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    leaving.close()
+    handled = node.counters["zone_updates"]
+    assert client.update(*added_endpoint("s-9"), tcp=True) == NOERROR
+    assert handled + 1 <= node.counters["zone_updates"] <= handled + 2
+
+
 @contextlib.contextmanager
 def connected_udp(address: tuple[str, int]) -> Iterator[socket.socket]:
     with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sock:
