Handle the lines of report collectors in turn, with bounded fields, each byte checked once

Cause: all fields were split and put into a dictionary, a buffer that had grown to 1 MiB was handled in one piece, and each piece of a line made all of it be checked for UTF-8 again.

Change: at most 64 fields a message and 64 values a load report; 256 lines of one client, then other tasks run, as they do after each read; each byte is checked once.

--- a/kelpcourse/limits.py
+++ b/kelpcourse/limits.py
@@ -53,6 +53,7 @@
         max_connections: Maximum number of client connections.
         listen_backlog: Number of connections that the operating system queues until they are accepted.
         max_line_bytes: Maximum size, in bytes, of a message, which is one line.
+        max_lines_per_turn: Maximum number of lines of one client that are handled before other coroutines run.
         initial_read_buffer_bytes: Size, in bytes, of a read buffer before it grows.
         max_read_buffers_bytes: Maximum size, in bytes, of the read buffers of all connections together.
         max_unauthenticated_bytes: Maximum size, in bytes, of the read buffer and of a message of an unauthenticated
@@ -68,6 +69,7 @@
     max_connections: int = 1_024
     listen_backlog: int = 1_024
     max_line_bytes: int = 1 << 20
+    max_lines_per_turn: int = 256
     initial_read_buffer_bytes: int = 16 << 10
     max_read_buffers_bytes: int = 32 << 20
     max_unauthenticated_bytes: int = 512
--- a/kelpcourse/wire/client_connection.py
+++ b/kelpcourse/wire/client_connection.py
@@ -19,6 +19,7 @@
         last_message_us: Time at which the last valid message was decoded, in microseconds.
         partial_since_us: Time since which a message of an unauthenticated client is incomplete, in microseconds;
             None if no message is incomplete.
+        checked_bytes: Number of bytes of the incomplete line that were checked.
         has_pinged: Whether the client has sent a ping.
         task: Task that serves the connection.
     """
@@ -31,6 +32,7 @@
         self.accepted_us = now_us
         self.last_message_us = now_us
         self.partial_since_us: int | None = None
+        self.checked_bytes = 0
         self.has_pinged = False
         self.task: Task | None = None
 
--- a/kelpcourse/wire/listener.py
+++ b/kelpcourse/wire/listener.py
@@ -161,11 +161,11 @@
                 return
             self._runtime.counters.add("bytes_in", count)
             connection.buffer.commit(count)
-            self._handler.handle_received(connection)
+            while self._handler.handle_received(connection):
+                yield Wait(0)
             if self._is_over_memory(connection):
                 raise StreamError("read buffers of all connections exceed their total limit")
-            if count == len(space):
-                yield Wait(0)  # a client that sends without pause must not block the other tasks
+            yield Wait(0)  # a client that sends without pause must not block the other tasks
 
     def _is_over_memory(self, connection: ClientConnection) -> bool:
         """Returns whether the read buffers exceed their total limit and this connection's buffer has grown.
--- a/kelpcourse/wire/report_codec.py
+++ b/kelpcourse/wire/report_codec.py
@@ -23,6 +23,7 @@
 
 from __future__ import annotations
 
+import codecs
 from dataclasses import dataclass
 
 from kelpcourse.wire.errors import InvalidMessageError, MalformedLineError
@@ -33,8 +34,8 @@
 MAX_VALUE_LENGTH = 256  # maximum number of characters of a field's value
 MAX_COUNT_DIGITS = 15
 MAX_NUMBER = 1e15
-# The reason that Python gives for a truncated UTF-8 sequence.
-INCOMPLETE_UTF8 = "unexpected end of data"
+MAX_FIELDS = 64  # maximum number of fields of a message
+MAX_LOAD_VALUES = 64  # maximum number of values in a load report
 
 
 @dataclass(frozen=True)
@@ -107,12 +108,14 @@
         raise MalformedLineError("not UTF-8") from error
     if not text.isprintable():
         raise MalformedLineError("contains unprintable characters")
-    parts = text.split()
+    parts = text.split(maxsplit=MAX_FIELDS + 1)
     if not parts:
         return None
     kind = parts[0]
     if not is_valid_kind(kind):
         raise MalformedLineError(f"invalid message kind {kind!r:.60}")
+    if len(parts) > MAX_FIELDS + 1:
+        raise InvalidMessageError(f"message has more than {MAX_FIELDS} fields")
     fields = _parse_fields(parts[1:])
     match kind:
         case "heard":
@@ -133,25 +136,32 @@
     return len(text) <= MAX_KIND_LENGTH and is_lower_ascii
 
 
-def check_partial_line(partial: memoryview) -> None:
+def check_partial_line(partial: memoryview, checked_bytes: int = 0) -> int:
     """Checks the received part of an incomplete line.
 
     A malformed line may never end, so it is rejected before its end is received.
 
+    Args:
+        partial: The received part.
+        checked_bytes: Number of bytes at its start that were checked before, as returned by the former call.
+
+    Returns:
+        Number of bytes that need not be checked again.
+
     Raises:
         MalformedLineError: No message can start with these bytes.
     """
     if not partial:
-        return
+        return 0
     start, space, _ = bytes(partial[: MAX_KIND_LENGTH + 1]).partition(b" ")
     kind = (start if space else start.rstrip(b"\r")).decode("latin-1")
     if kind and not is_valid_kind(kind):
         raise MalformedLineError(f"invalid message kind {kind!r:.60}")
     try:
-        str(partial, "utf-8")
+        _, complete_bytes = codecs.utf_8_decode(partial[checked_bytes:], "strict", False)
     except UnicodeDecodeError as error:
-        if error.reason != INCOMPLETE_UTF8:
-            raise MalformedLineError("not UTF-8") from error
+        raise MalformedLineError("not UTF-8") from error
+    return checked_bytes + complete_bytes
 
 
 def _decode_endpoint_report(fields: dict[str, str]) -> EndpointReportMessage:
@@ -224,7 +234,10 @@
     if not value:
         return ()
     pairs: list[tuple[str, float]] = []
-    for pair in value.split(","):
+    values = value.split(",", maxsplit=MAX_LOAD_VALUES)
+    if len(values) > MAX_LOAD_VALUES:
+        raise InvalidMessageError(f"field 'report' has more than {MAX_LOAD_VALUES} values")
+    for pair in values:
         name, separator, number = pair.partition(":")
         if not separator or not name:
             raise InvalidMessageError(f"field 'report' contains an invalid pair: {pair!r:.60}")
--- a/kelpcourse/wire/report_handler.py
+++ b/kelpcourse/wire/report_handler.py
@@ -4,6 +4,7 @@
 
 import contextlib
 import socket
+from itertools import islice
 
 from kelpcourse.facade import InvalidReportError
 from kelpcourse.wire.client_connection import ClientConnection
@@ -33,8 +34,11 @@
         """Initializes a handler for all connections of a listener."""
         self._runtime = runtime
 
-    def handle_received(self, connection: ClientConnection) -> None:
-        """Handles the complete lines in a connection's buffer.
+    def handle_received(self, connection: ClientConnection) -> bool:
+        """Handles the complete lines in a connection's buffer, up to a limit.
+
+        Returns:
+            Whether the limit was reached, so that this method has to be called again before more is read.
 
         Raises:
             MalformedLineError: A line is not a message.
@@ -42,10 +46,26 @@
                 complete a message before its deadline.
             MessageTooLongError: A line exceeds the size limit.
         """
-        for line in connection.buffer.lines():
+        max_lines = self._runtime.limits.max_lines_per_turn
+        line_count = 0
+        for line in islice(connection.buffer.lines(), max_lines):
             self._handle_line(connection, line)
+            line_count += 1
+        if line_count:
+            connection.checked_bytes = 0
+        if line_count == max_lines:
+            return True
         partial = connection.buffer.partial_message()
-        check_partial_line(partial)
+        connection.checked_bytes = check_partial_line(partial, connection.checked_bytes)
+        self._check_handshake(connection, partial)
+        return False
+
+    def _check_handshake(self, connection: ClientConnection, partial: memoryview) -> None:
+        """Checks that an unauthenticated client completes its messages in time.
+
+        Raises:
+            ProtocolViolationError: It has not.
+        """
         if connection.is_collector:
             return
         now_us = self._runtime.clock()
