--- a/kelpcourse/wire/http.py
+++ b/kelpcourse/wire/http.py
@@ -15,7 +15,7 @@
     MessageTooLongError,
     StreamError,
 )
-from kelpcourse.wire.loop import Coroutine
+from kelpcourse.wire.loop import Coroutine, Wait
 from kelpcourse.wire.stream import Address, Stream, connect
 
 HTTP_OK = 200
@@ -172,6 +172,7 @@
             count = yield from self._stream.recv_into(memoryview(self._received), deadline_us)
             # h11 accepts any bytes-like object and copies it, so the array can be reused.
             self._parser.receive_data(cast(bytes, memoryview(self._received)[:count]))
+            yield Wait(0)  # a peer that sends without pause must not block the other tasks
 
 
 def connect_http(address: Address, limits: Limits, deadline_us: int) -> Coroutine[HttpClient]:
--- a/tests/test_http_client.py
+++ b/tests/test_http_client.py
@@ -1,13 +1,13 @@
-"""Requests that the socket buffers take only in part at first."""
+"""Requests that the socket buffers take only in part at first, and responses that come without pause."""
 
 from __future__ import annotations
 
 import socket
 
-from kelpcourse.wire.errors import StreamTimeoutError
+from kelpcourse.wire.errors import StreamError, StreamTimeoutError
 from kelpcourse.wire.http import HttpClient
 from kelpcourse.wire.loop import Coroutine, Wait
-from kelpcourse.wire.stream import connect
+from kelpcourse.wire.stream import Stream, connect
 from tests.standins import FAST_LIMITS, MS, Bench, HttpConnection, HttpServer
 
 BODY = b"[%s]" % (b"1," * 200_000 + b"1")
@@ -63,3 +63,33 @@
     outcome, took_us = outcomes[0]
     assert outcome == "timed out"
     assert took_us >= FAST_LIMITS.send_timeout_us
+
+
+def test_other_tasks_run_while_a_stream_has_data_without_pause(bench: Bench) -> None:
+    """Guards against withdrawals that wait while one peer's stream is read as long as there is something to read."""
+    reads, turns = [0], [0]
+    peer, own = socket.socketpair()
+    chunk = b"1000\r\n" + b"x" * 4_095 + b"\n\r\n"
+    peer.sendall(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + chunk * 32)
+    peer.shutdown(socket.SHUT_WR)
+
+    def read_stream() -> Coroutine[None]:
+        client = HttpClient(Stream(own), ("127.0.0.1", 1), FAST_LIMITS)
+        yield from client.send_request("GET", "/", None, bench.clock() + MS)
+        yield from client.expect_ok(bench.clock() + MS)
+        try:
+            while (lines := (yield from client.read_lines(bench.clock() + MS))) is not None:
+                reads[0] += len(list(lines))
+        except StreamError:
+            client.close()
+
+    def count_turns() -> Coroutine[None]:
+        while True:
+            turns[0] += 1
+            yield Wait(0)
+
+    bench.loop.start("turns", count_turns())
+    bench.loop.start("read", read_stream())
+    bench.until(lambda: reads[0] == 32)
+    peer.close()
+    assert turns[0] >= 32 * len(chunk) // FAST_LIMITS.initial_read_buffer_bytes
