Derive absences and returns of endpoints from the stored versions, so that a restart keeps them

Cause: the merged list kept removals and returns in memory, by the clock of the process.

Change: both are times at which versions were accepted, which are stored with each difference. The clock of zones is that of the loop, which is Unix time and doesn't go back.

--- a/kelpcourse/zones/merged_list.py
+++ b/kelpcourse/zones/merged_list.py
@@ -9,11 +9,12 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Mapping, Sequence
+from collections.abc import Collection, Iterable, Mapping, Sequence
 from dataclasses import dataclass, replace
 
 from kelpcourse.memory.endpoints import ListedEndpoint
 from kelpcourse.policy.events import EndpointStatus
+from kelpcourse.zones.runtime import US_PER_MS
 
 
 @dataclass(frozen=True)
@@ -37,6 +38,9 @@
     An endpoint that is listed again after a longer absence than the grace period has done no work in between. Its
     start is then the time at which it was listed again, whatever its record says, so that it is warming up. Within the
     grace period proxies may still be using the endpoint, so its start is unchanged.
+
+    All times are those at which versions were accepted, which are stored with them. The same versions therefore lead to
+    the same list, whether a process has received them or has replayed them after a restart.
     """
 
     def __init__(self, zones: Sequence[str], grace_us: int, max_remembered: int) -> None:
@@ -48,12 +52,12 @@
             max_remembered: Maximum number of removed endpoints whose removal time is remembered.
         """
         self._zones = list(zones)
-        self._grace_us = grace_us
+        self._grace_ms = grace_us / US_PER_MS
         self._max_remembered = max_remembered
         self._announced: dict[str, dict[str, ListedEndpoint]] = {zone: {} for zone in zones}
         self.endpoints: dict[str, ListedEndpoint] = {}
-        # Loop time at which each absent endpoint was removed, in microseconds, by name; oldest first.
-        self._removed_us: dict[str, int] = {}
+        # Unix time in milliseconds at which each absent endpoint was removed, by name; oldest first.
+        self._removed_ms: dict[str, int] = {}
         # Unix time in milliseconds at which an endpoint was listed again after the grace period, by name.
         self._returned_ms: dict[str, int] = {}
         self._conflicts: dict[str, tuple[str, ...]] = {}
@@ -75,6 +79,12 @@
         """Whether any zone is loaded and not expired."""
         return len(self._unavailable) < len(self._zones)
 
+    def conflicts(self) -> list[EndpointConflict]:
+        """Returns the conflicts that have begun and not ended."""
+        return [
+            EndpointConflict(name, zones, begins=True) for name, zones in self._conflicts.items()
+        ]
+
     def zone_loaded(self, zone: str) -> bool:
         """Records that a version of a zone is accepted and confirmed.
 
@@ -92,15 +102,14 @@
         self._unavailable.add(zone)
 
     def update(
-        self, zone: str, changes: Mapping[str, ListedEndpoint | None], now_us: int, unix_ms: int
+        self, zone: str, changes: Mapping[str, ListedEndpoint | None], accepted_ms: int
     ) -> tuple[list[ListedEndpoint], list[EndpointConflict]]:
         """Merges the changes of one zone into the list, as one change of the list.
 
         Args:
             zone: Origin of the zone.
             changes: Changed endpoints by name; None for an endpoint that was removed.
-            now_us: Time of the loop's clock, in microseconds.
-            unix_ms: Unix time, in milliseconds.
+            accepted_ms: Unix time at which the version with these changes was accepted, in milliseconds.
 
         Returns:
             The entries of the list that changed, with the status GONE for removed ones, and the conflicts that began
@@ -115,13 +124,13 @@
         changed: list[ListedEndpoint] = []
         conflicts: list[EndpointConflict] = []
         for name in changes:
-            changed += self._merge(name, now_us, unix_ms, conflicts)
+            changed += self._merge(name, accepted_ms, conflicts)
         if changed:
             self.version += 1
         return changed, conflicts
 
     def _merge(
-        self, name: str, now_us: int, unix_ms: int, conflicts: list[EndpointConflict]
+        self, name: str, accepted_ms: int, conflicts: list[EndpointConflict]
     ) -> Iterable[ListedEndpoint]:
         """Updates one entry of the list and returns it if it changed."""
         announcements = {
@@ -135,10 +144,10 @@
             if previous is None:
                 return ()
             del self.endpoints[name]
-            self._record_removal(name, now_us)
+            self._record_removal(name, accepted_ms)
             return (replace(previous, status=EndpointStatus.GONE),)
         if previous is None:
-            self._record_arrival(name, now_us, unix_ms)
+            self._record_arrival(name, accepted_ms)
         merged = self._merged(name, list(announcements.values()))
         if merged == previous:
             return ()
@@ -146,25 +155,32 @@
         return (merged,)
 
     def _merged(self, name: str, announcements: Sequence[ListedEndpoint]) -> ListedEndpoint:
+        first = announcements[0]
+        returned_ms = self._returned_ms.get(name, 0)
+        if len(announcements) == 1 and returned_ms <= first.started_ms:
+            return first
         draining = any(each.status is EndpointStatus.DRAINING for each in announcements)
         latest_start_ms = max(each.started_ms for each in announcements)
         return replace(
-            announcements[0],
+            first,
             status=EndpointStatus.DRAINING if draining else EndpointStatus.READY,
-            started_ms=max(latest_start_ms, self._returned_ms.get(name, 0)),
+            started_ms=max(latest_start_ms, returned_ms),
         )
 
-    def _record_removal(self, name: str, now_us: int) -> None:
-        self._removed_us[name] = now_us
-        while len(self._removed_us) > self._max_remembered:
-            oldest = next(iter(self._removed_us))
-            del self._removed_us[oldest]
+    def _record_removal(self, name: str, accepted_ms: int) -> None:
+        self._removed_ms[name] = accepted_ms
+        while len(self._removed_ms) > self._max_remembered:
+            oldest = next(iter(self._removed_ms))
+            del self._removed_ms[oldest]
             self._returned_ms.pop(oldest, None)
 
-    def _record_arrival(self, name: str, now_us: int, unix_ms: int) -> None:
-        removed_us = self._removed_us.pop(name, None)
-        if removed_us is not None and now_us - removed_us > self._grace_us:
-            self._returned_ms[name] = unix_ms
+    def _record_arrival(self, name: str, accepted_ms: int) -> None:
+        removed_ms = self._removed_ms.pop(name, None)
+        if removed_ms is None:
+            return
+        # If the clock was set back, the length of the absence is not known.
+        if not 0 <= accepted_ms - removed_ms <= self._grace_ms:
+            self._returned_ms[name] = accepted_ms
 
     def _check_conflict(
         self,
@@ -173,11 +189,7 @@
         conflicts: list[EndpointConflict],
     ) -> None:
         """Appends to `conflicts` if a conflict on this endpoint begins, ends or concerns other zones than before."""
-        distinct = {
-            replace(each, status=EndpointStatus.READY, started_ms=0.0)
-            for each in announcements.values()
-        }
-        zones = tuple(announcements) if len(distinct) > 1 else ()
+        zones = tuple(announcements) if _differ(announcements.values()) else ()
         if zones == self._conflicts.get(name, ()):
             return
         if zones:
@@ -186,3 +198,13 @@
         else:
             former_zones = self._conflicts.pop(name)
             conflicts.append(EndpointConflict(name, former_zones, begins=False))
+
+
+def _differ(announcements: Collection[ListedEndpoint]) -> bool:
+    """Returns whether announcements of an endpoint disagree on other attributes than status and start."""
+    if len(announcements) < 2:
+        return False
+    distinct = {
+        replace(each, status=EndpointStatus.READY, started_ms=0.0) for each in announcements
+    }
+    return len(distinct) > 1
--- a/kelpcourse/zones/offline.py
+++ b/kelpcourse/zones/offline.py
@@ -78,7 +78,7 @@
     zone_list = list(zones)
     merged = MergedEndpointList([zone.origin for zone in zone_list], 0, MAX_REMEMBERED_NAMES)
     for zone in zone_list:
-        merged.update(zone.origin, dict(zone.extractor.endpoints), 0, 0)
+        merged.update(zone.origin, dict(zone.extractor.endpoints), 0)
     return sorted(merged.endpoints.values(), key=_endpoint_name)
 
 
--- a/kelpcourse/zones/persistence.py
+++ b/kelpcourse/zones/persistence.py
@@ -11,7 +11,7 @@
 from __future__ import annotations
 
 import gc
-from collections.abc import Iterable, Iterator, Sequence
+from collections.abc import Callable, Iterable, Iterator, Sequence
 from contextlib import contextmanager
 
 import msgspec
@@ -20,7 +20,7 @@
 from kelpcourse.zones.errors import StoredEntryError, ZoneError
 from kelpcourse.zones.records import Record
 from kelpcourse.zones.versions import Difference, build_zone
-from kelpcourse.zones.zone_state import ZoneState
+from kelpcourse.zones.zone_state import EndpointChanges, ZoneState
 
 
 class ZoneChanged(msgspec.Struct, tag="changed", array_like=True, frozen=True):
@@ -64,6 +64,8 @@
     zones: tuple[StoredZone, ...]
 
 
+# Called with the origin of a zone, the endpoints that a version changes, and its Unix time of acceptance in ms.
+OnReplayed = Callable[[str, EndpointChanges, int], object]
 Entry = ZoneChanged | ZoneConfirmed | StoredZone | ZoneSnapshot
 _encoder = msgspec.msgpack.Encoder()
 _decoder = msgspec.msgpack.Decoder(Entry)
@@ -116,17 +118,39 @@
             gc.enable()
 
 
+class _ReplayedVersion(msgspec.Struct, frozen=True):
+    """A replayed version: its place in the history, when it was accepted, and the endpoints that it changed."""
+
+    is_later: bool  # whether there is an older version
+    accepted_ms: int
+    origin: str
+    changes: EndpointChanges
+
+    def order(self) -> tuple[bool, int]:
+        """Returns the sort key: the order of acceptance."""
+        return self.is_later, self.accepted_ms
+
+
 class ZoneReplay:
     """Replays stored entries; zones that the settings do not name are kept unchanged."""
 
-    def __init__(self, origins: Sequence[str], service: str, limits: Limits) -> None:
+    def __init__(
+        self,
+        origins: Sequence[str],
+        service: str,
+        limits: Limits,
+        on_replayed: OnReplayed = lambda *_: None,
+    ) -> None:
         """Initializes an empty state for each zone.
 
         Args:
             origins: Origins of the zones that the settings name.
             service: Label prefix of the owners of the SRV records that announce endpoints.
             limits: Limits of each zone.
+            on_replayed: Function that is called for each version of a zone of the settings, in the order of replay.
         """
+        self._on_replayed = on_replayed
+        self._unordered: list[_ReplayedVersion] | None = None  # versions that are not reported yet
         self.zones = {origin: ZoneState(origin, service, limits) for origin in origins}
         self.warnings: list[str] = []  # problems of the entries that could not be replayed
         self._unconfigured: dict[str, ZoneState] = {}
@@ -156,13 +180,14 @@
     def _replay_entry(self, entry: Entry) -> None:
         match entry:
             case ZoneSnapshot(zones):
-                for stored in zones:
-                    self._replay_zone(stored)
+                with self._in_order_of_acceptance():
+                    for stored in zones:
+                        self._replay_zone(stored)
             case StoredZone():
                 self._replay_zone(entry)
             case ZoneChanged(origin, difference):
                 zone = self._zone(origin)
-                zone.replay(difference)
+                self._replay_difference(zone, difference)
                 zone.confirmed_ms = max(zone.confirmed_ms, difference.accepted_ms)
             case ZoneConfirmed(origin, confirmed_ms):
                 zone = self._zone(origin)
@@ -170,11 +195,67 @@
 
     def _replay_zone(self, stored: StoredZone) -> None:
         zone = self._zone(stored.origin)
-        whole_zone = build_zone(stored.origin, stored.records)
-        zone.replay(zone.difference_to(whole_zone, stored.confirmed_ms))
+        if zone.zone.exists:
+            self._replay_rest(zone, stored)
+        else:
+            self._replay_history(zone, stored)
+        zone.confirmed_ms = stored.confirmed_ms
+
+    def _replay_history(self, zone: ZoneState, stored: StoredZone) -> None:
+        """Replays the oldest version that the history reaches, and the differences that lead to the last one.
+
+        A history that doesn't fit the records is left out, and the last version is replayed at once.
+        """
+        oldest = build_zone(stored.origin, stored.records)
+        accepted_ms = stored.confirmed_ms
+        history = stored.history
+        try:
+            for difference in reversed(history):
+                oldest.apply(difference.inverse(difference.accepted_ms))
+                accepted_ms = difference.accepted_ms
+        except ZoneError as error:
+            self.warnings.append(str(error))
+            oldest = build_zone(stored.origin, stored.records)
+            history = ()
+        self._replay_difference(zone, zone.difference_to(oldest, accepted_ms))
+        for difference in history:
+            self._replay_difference(zone, difference)
+
+    def _replay_rest(self, zone: ZoneState, stored: StoredZone) -> None:
+        """Replays what leads from the current version to the last one, which was stored as a whole."""
+        for difference in _differences_from(zone, stored.history):
+            self._replay_difference(zone, difference)
+        last = build_zone(stored.origin, stored.records)
+        self._replay_difference(zone, zone.difference_to(last, stored.confirmed_ms))
         for difference in stored.history:
             zone.history.add(difference)
-        zone.confirmed_ms = stored.confirmed_ms
+
+    def _replay_difference(self, zone: ZoneState, difference: Difference) -> None:
+        changes = zone.replay(difference)
+        if zone.origin not in self.zones:
+            return
+        if self._unordered is None:
+            self._on_replayed(zone.origin, changes, difference.accepted_ms)
+        else:
+            is_later = difference.old_serial is not None
+            self._unordered.append(
+                _ReplayedVersion(is_later, difference.accepted_ms, zone.origin, changes)
+            )
+
+    @contextmanager
+    def _in_order_of_acceptance(self) -> Iterator[None]:
+        """Reports the versions of several zones that are replayed one zone after the other in order of acceptance.
+
+        The time since which the oldest stored version of a zone was in force is not stored; those versions come first.
+        """
+        versions: list[_ReplayedVersion] = []
+        self._unordered = versions
+        try:
+            yield
+        finally:
+            self._unordered = None
+        for version in sorted(versions, key=_ReplayedVersion.order):
+            self._on_replayed(version.origin, version.changes, version.accepted_ms)
 
     def _zone(self, origin: str) -> ZoneState:
         if origin in self.zones:
@@ -182,3 +263,11 @@
         if origin not in self._unconfigured:
             self._unconfigured[origin] = ZoneState(origin, self._service, self._limits)
         return self._unconfigured[origin]
+
+
+def _differences_from(zone: ZoneState, history: Sequence[Difference]) -> Sequence[Difference]:
+    """Returns the differences of a stored history that follow the current version of a zone."""
+    for position, difference in enumerate(history):
+        if difference.old_serial == zone.zone.serial:
+            return history[position:]
+    return ()
--- a/kelpcourse/zones/publisher.py
+++ b/kelpcourse/zones/publisher.py
@@ -23,7 +23,7 @@
         """Initializes a publisher.
 
         Args:
-            merged_list: Merged endpoint list, which is empty.
+            merged_list: Merged endpoint list, which has no zone loaded.
             classes: Request classes that are reported if they have no endpoint.
             runtime: Parts that the components of the service share.
             listener: Listener for changes of the list.
@@ -34,12 +34,16 @@
         self._listener = listener
         self._classes_without_endpoints: set[str] = set()
 
-    def publish(self, zone: ZoneState, changes: EndpointChanges) -> None:
-        """Publishes the endpoint changes of one version of a zone as one change of the list."""
+    def publish(self, zone: ZoneState, changes: EndpointChanges, accepted_ms: int) -> None:
+        """Publishes the endpoint changes of one version of a zone as one change of the list.
+
+        Args:
+            zone: State of the zone.
+            changes: Changed endpoints, by name; None for an endpoint that was removed.
+            accepted_ms: Unix time at which the version was accepted, in milliseconds.
+        """
         merged = self.merged_list
-        changed, conflicts = merged.update(
-            zone.origin, changes, self._runtime.now_us(), self._runtime.unix_ms()
-        )
+        changed, conflicts = merged.update(zone.origin, changes, accepted_ms)
         became_complete = merged.zone_loaded(zone.origin)
         self._report_conflicts(conflicts)
         self._report_problems(zone)
@@ -50,6 +54,10 @@
             self._listener.list_changed(changed, merged.version, False)
         self._check_classes()
 
+    def report_replayed_conflicts(self) -> None:
+        """Reports the conflicts of the versions that were replayed at the start."""
+        self._report_conflicts(self.merged_list.conflicts())
+
     def zone_confirmed(self, origin: str) -> None:
         """Handles the confirmation of a zone; publishes the whole list if it was unavailable before."""
         merged = self.merged_list
--- a/kelpcourse/zones/runtime.py
+++ b/kelpcourse/zones/runtime.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import time
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 from typing import Protocol
@@ -13,6 +12,8 @@
 from kelpcourse.wire.loop import Coroutine, Loop
 from kelpcourse.wire.runtime import EventLog
 
+US_PER_MS = 1_000
+
 CoroutineFactory = Callable[[], Coroutine[None]]
 StartCoroutine = Callable[[str, CoroutineFactory], object]
 
@@ -34,7 +35,7 @@
     """The parts that the components of the service share.
 
     Attributes:
-        loop: Event loop.
+        loop: Event loop, whose clock is Unix time in microseconds.
         limits: Limits of the process.
         counters: Counters of the process.
         log: Event log.
@@ -48,9 +49,9 @@
     start_coroutine: StartCoroutine
 
     def now_us(self) -> int:
-        """Returns the time of the loop's monotonic clock, in microseconds."""
+        """Returns the time of the loop's clock, which is Unix time and never goes back, in microseconds."""
         return self.loop.clock()
 
     def unix_ms(self) -> int:
         """Returns the Unix time, in milliseconds."""
-        return time.time_ns() // 1_000_000
+        return self.loop.clock() // US_PER_MS
--- a/kelpcourse/zones/service.py
+++ b/kelpcourse/zones/service.py
@@ -55,11 +55,11 @@
         self.classes = classes
         self._runtime = runtime
         self._settings_by_origin = {zone.origin: zone for zone in settings.zones}
-        self.store = ZoneStore(settings, runtime, self._publish)
-        self.zone_states = self.store.zone_states
         self.merged_list = MergedEndpointList(
-            list(self.zone_states), grace_us, runtime.limits.max_endpoint_names
+            [zone.origin for zone in settings.zones], grace_us, runtime.limits.max_endpoint_names
         )
+        self.store = ZoneStore(settings, runtime, self._publish, self.merged_list.update)
+        self.zone_states = self.store.zone_states
         self._publisher = EndpointPublisher(self.merged_list, classes, runtime, listener)
         # Loop time at which a confirmation of each zone was last saved, in microseconds, by origin.
         self._saved_confirmation_us: dict[str, int] = {}
@@ -87,9 +87,10 @@
         """
         runtime = self._runtime
         self._start_notifiers()
+        self._publisher.report_replayed_conflicts()
         for zone in self.zone_states.values():
             if zone.zone.exists:
-                self._publish(zone, dict(zone.extractor.endpoints))
+                self._publish(zone, dict(zone.extractor.endpoints), zone.confirmed_ms)
         for origin, zone_settings in self._settings_by_origin.items():
             self._file_watcher.read_at_start(origin)
             if zone_settings.primaries:
@@ -159,7 +160,7 @@
             records=len(zone.zone),
             hosts=len(zone.extractor.endpoints),
         )
-        self._publish(zone, changes)
+        self._publish(zone, changes, difference.accepted_ms)
         self.store.save(zone, ZoneChanged(zone.origin, difference))
 
     def zone_confirmed(self, zone: ZoneState) -> None:
@@ -184,10 +185,10 @@
         )
         self._publisher.zone_expired(zone.origin)
 
-    def _publish(self, zone: ZoneState, changes: EndpointChanges) -> None:
+    def _publish(self, zone: ZoneState, changes: EndpointChanges, accepted_ms: int) -> None:
         for notifier in self._notifiers[zone.origin]:
             notifier.zone_changed()
-        self._publisher.publish(zone, changes)
+        self._publisher.publish(zone, changes, accepted_ms)
 
     def _new_client(self) -> DnsClient:
         runtime = self._runtime
--- a/kelpcourse/zones/zone_state.py
+++ b/kelpcourse/zones/zone_state.py
@@ -81,21 +81,24 @@
         self._removals.record(self.extractor.previous, changes, now_us)
         return changes
 
-    def replay(self, difference: Difference) -> None:
+    def replay(self, difference: Difference) -> EndpointChanges:
         """Applies a stored difference. `finish_replay` must be called once after the last one.
 
+        Returns:
+            The endpoints that changed, by name; None for an endpoint that was removed.
+
         Raises:
             ZoneError: The difference does not start from the current version; nothing was changed.
         """
         self._check_sequence(difference)
         self.zone.apply(difference)
         self.history.add(difference)
+        return self.extractor.apply(difference, self.zone)
 
     def finish_replay(self) -> None:
-        """Derives the accepted version and the endpoints from the last replayed version."""
+        """Derives the accepted version from the last replayed version."""
         if self.zone.exists:
             self._accept_current()
-            self.extractor.start(self.zone)
 
     def difference_to(self, new: Zone, accepted_ms: int) -> Difference:
         """Returns the difference from the current version to a version that was received in full."""
--- a/kelpcourse/zones/zone_store.py
+++ b/kelpcourse/zones/zone_store.py
@@ -19,6 +19,7 @@
 from kelpcourse.zones.handler_context import OnSettled, PendingUpdate
 from kelpcourse.zones.persistence import (
     Entry,
+    OnReplayed,
     ZoneChanged,
     ZoneReplay,
     encode_entry,
@@ -30,7 +31,7 @@
 from kelpcourse.zones.settings import ZonesSettings
 from kelpcourse.zones.zone_state import EndpointChanges, ZoneState
 
-OnCommitted = Callable[[ZoneState, EndpointChanges], None]
+OnCommitted = Callable[[ZoneState, EndpointChanges, int], None]
 
 
 @dataclass(frozen=True)
@@ -44,15 +45,21 @@
     """Keeps the zones in the state folder, or only in memory if the settings name no folder."""
 
     def __init__(
-        self, settings: ZonesSettings, runtime: ZoneRuntime, on_committed: OnCommitted
+        self,
+        settings: ZonesSettings,
+        runtime: ZoneRuntime,
+        on_committed: OnCommitted,
+        on_replayed: OnReplayed,
     ) -> None:
         """Opens the state folder and replays its contents.
 
         Args:
             settings: Settings that name the zones and the state folder.
             runtime: Parts that the components of the service share.
-            on_committed: Function that is called with each zone that an update changed and with the changed endpoints,
-                once the update is durable.
+            on_committed: Function that is called with each zone that an update changed, with the changed endpoints and
+                with the Unix time at which the update was accepted, in milliseconds, once the update is durable.
+            on_replayed: Function that is called during construction with the origin of each zone of the settings that
+                a stored version changes, with the changed endpoints and with the time at which it was accepted.
 
         Raises:
             FolderInUseError: Another process has the folder open.
@@ -67,7 +74,7 @@
         # Unsaved zones that are part of the snapshot that is being written.
         self._origins_in_snapshot: set[str] = set()
         replay = ZoneReplay(
-            [zone.origin for zone in settings.zones], settings.service, runtime.limits
+            [zone.origin for zone in settings.zones], settings.service, runtime.limits, on_replayed
         )
         self._writer: DurableWriter[PendingUpdate | SavedVersion] | None = None
         if settings.state is not None:
@@ -198,7 +205,7 @@
 
     def _commit(self, update: PendingUpdate) -> None:
         changes = update.zone.commit_update(update.difference, self._runtime.now_us())
-        self._on_committed(update.zone, changes)
+        self._on_committed(update.zone, changes, update.difference.accepted_ms)
         self._settle(update, True)
 
     def _settle(self, update: PendingUpdate, durable: bool) -> None:
--- a/tests/zonerig.py
+++ b/tests/zonerig.py
@@ -35,6 +35,7 @@
 
 MS = 1000
 SECOND = 1_000_000
+UNIX_US = 1_700_000_000 * SECOND  # at which the clock of a test starts
 SECRET = base64.b64encode(bytes(range(32)))
 KEY = dns.tsig.Key(
     dns.name.from_text("staff." + ORIGIN), SECRET.decode(), dns.name.from_text("hmac-sha256")
@@ -85,6 +86,7 @@
     def __init__(self, folder: Path) -> None:
         self.folder = folder
         self.clock = FakeClock()
+        self.clock.now = UNIX_US
         self.unexpected_errors: list[Exception] = []
         self.loop = Loop(self.clock, lambda _, error: self.unexpected_errors.append(error))
         self.nodes: list[ZoneNode] = []
