Count removals for the removal limit when they are staged, and over a restart

What callers saw: with most=0.5 within=3600 and ten endpoints, ten updates that each remove one were accepted five times if sent one by one and nine times if sent at once; after a restart the count began anew.

Cause: removals were counted when they became durable, in memory.

Change: a staged removal counts at once and is taken back if the update is undone; the replay at a start counts the stored versions by their times of acceptance.

Measured: the new tests (ten at once, and a restart after both ways of sending) fail without the change; a full disk takes the counts back. 469 tests of zones, stored zones, imports and commands pass.

--- a/kelpcourse/zones/update_policy.py
+++ b/kelpcourse/zones/update_policy.py
@@ -127,6 +127,11 @@
         raise InvalidGrantError("type", type_, "is not a record type") from error
 
 
+# The time at which an endpoint stopped being ready, in microseconds, and the endpoint before that.
+Removal = tuple[int, ListedEndpoint]
+RemovalChanges = Mapping[str, Removal | None]  # by name; None for an endpoint that was not removed
+
+
 class RemovalHistory:
     """Endpoints of a zone that recently stopped being ready."""
 
@@ -134,15 +139,20 @@
         """Initializes an empty history that keeps each removal for `window_us` microseconds."""
         self._window_us = window_us
         # For each name the time at which the endpoint stopped being ready, and the endpoint before that; oldest first.
-        self._removed: dict[str, tuple[int, ListedEndpoint]] = {}
+        self._removed: dict[str, Removal] = {}
 
     def record(
         self,
         previous: Mapping[str, ListedEndpoint | None],
         changes: Mapping[str, ListedEndpoint | None],
         now_us: int,
-    ) -> None:
-        """Records the removals of a change, given the endpoints before and after it by name."""
+    ) -> RemovalChanges:
+        """Records the removals of a change, given the endpoints before and after it by name.
+
+        Returns:
+            What was recorded of the changed endpoints before, for `restore`.
+        """
+        replaced = {name: self._removed.get(name) for name in changes}
         for name, endpoint in changes.items():
             before = previous.get(name)
             if is_ready(endpoint):
@@ -150,6 +160,15 @@
             elif before is not None and is_ready(before):
                 self._removed[name] = now_us, before
         self._forget_before(now_us - self._window_us)
+        return replaced
+
+    def restore(self, replaced: RemovalChanges) -> None:
+        """Undoes a call of `record`, given what it returned; later calls must have been undone before."""
+        for name, removal in replaced.items():
+            if removal is None:
+                self._removed.pop(name, None)
+            else:
+                self._removed[name] = removal
 
     def removed_since(self, since_us: int) -> dict[str, ListedEndpoint]:
         """Returns the endpoints that were removed at or after `since_us`, in their state before removal, by name."""
@@ -190,7 +209,7 @@
         changes: Endpoints that the update changes, after it, by name; None for an endpoint that is gone.
         removals: Endpoints that earlier updates removed from the zone.
         classes: Request classes, for each of which the granted fraction is checked.
-        now_us: Time of the update on a monotonic clock, in microseconds.
+        now_us: Unix time of the update, in microseconds.
     """
     reason = _record_rejection(grant, difference)
     if reason or grant.max_removed_fraction >= 1:
--- a/kelpcourse/zones/zone_state.py
+++ b/kelpcourse/zones/zone_state.py
@@ -7,6 +7,8 @@
 
 from __future__ import annotations
 
+from collections import deque
+
 from kelpcourse.limits import Limits
 from kelpcourse.memory.endpoints import ListedEndpoint
 from kelpcourse.zones.endpoint_extraction import EndpointExtractor
@@ -14,8 +16,10 @@
 from kelpcourse.zones.history import History
 from kelpcourse.zones.pending_version import PendingVersion
 from kelpcourse.zones.reconciliation import Version, VersionReconciler
+from kelpcourse.zones.runtime import US_PER_MS
 from kelpcourse.zones.update_policy import (
     EndpointClass,
+    RemovalChanges,
     RemovalHistory,
     UpdateGrant,
     rejection_reason,
@@ -47,7 +51,8 @@
         self._removals = RemovalHistory(limits.zone_removal_window_us)
         self._head: Zone | None = None  # None if the head is the same as `zone`
         self._head_extractor: EndpointExtractor | None = None
-        self._staged_updates = 0
+        # What each staged update replaced in the history of removals, oldest first.
+        self._staged_removals: deque[RemovalChanges] = deque()
         self._service = service
 
     @property
@@ -58,7 +63,7 @@
     @property
     def staged_updates(self) -> int:
         """The number of updates that are part of the head and not yet durable."""
-        return self._staged_updates
+        return len(self._staged_removals)
 
     def apply(self, difference: Difference, now_us: int) -> EndpointChanges:
         """Makes a version current that is durable or can be fetched again.
@@ -70,6 +75,11 @@
             ZoneError: The difference does not start from the current version, or the zone would be too large;
                 nothing was changed.
         """
+        changes = self._apply(difference)
+        self._removals.record(self.extractor.previous, changes, now_us)
+        return changes
+
+    def _apply(self, difference: Difference) -> EndpointChanges:
         self._check_sequence(difference)
         record_count = len(self.zone) + len(difference.added) - len(difference.removed)
         if record_count > self._limits.max_zone_records:
@@ -77,9 +87,7 @@
         self.zone.apply(difference)
         self.history.add(difference)
         self._accept_current()
-        changes = self.extractor.apply(difference, self.zone)
-        self._removals.record(self.extractor.previous, changes, now_us)
-        return changes
+        return self.extractor.apply(difference, self.zone)
 
     def replay(self, difference: Difference) -> EndpointChanges:
         """Applies a stored difference. `finish_replay` must be called once after the last one.
@@ -93,7 +101,10 @@
         self._check_sequence(difference)
         self.zone.apply(difference)
         self.history.add(difference)
-        return self.extractor.apply(difference, self.zone)
+        changes = self.extractor.apply(difference, self.zone)
+        accepted_us = difference.accepted_ms * US_PER_MS
+        self._removals.record(self.extractor.previous, changes, accepted_us)
+        return changes
 
     def finish_replay(self) -> None:
         """Derives the accepted version from the last replayed version."""
@@ -132,7 +143,7 @@
         reason = rejection_reason(
             grant, difference, endpoints, changes, self._removals, classes, now_us
         )
-        self._staged_updates += 1
+        self._staged_removals.append(self._removals.record(extractor.previous, changes, now_us))
         if reason:
             self.undo_update(difference)
         return reason
@@ -143,16 +154,16 @@
         inverse = difference.inverse(difference.accepted_ms)
         head.apply(inverse)
         extractor.apply(inverse, head)
-        self._staged_updates -= 1
+        self._removals.restore(self._staged_removals.pop())
 
-    def commit_update(self, difference: Difference, now_us: int) -> EndpointChanges:
-        """Makes the oldest staged update current after it has become durable."""
-        self._staged_updates -= 1
-        return self.apply(difference, now_us)
+    def commit_update(self, difference: Difference) -> EndpointChanges:
+        """Makes the oldest staged update current after it has become durable; its removals are recorded already."""
+        self._staged_removals.popleft()
+        return self._apply(difference)
 
     def discard_head(self) -> None:
         """Discards the head after the zone has changed by other means than an update."""
-        assert not self._staged_updates
+        assert not self._staged_removals
         self._head = None
         self._head_extractor = None
 
--- a/kelpcourse/zones/zone_store.py
+++ b/kelpcourse/zones/zone_store.py
@@ -204,7 +204,7 @@
                 self._mark_unsaved(ticket.origin)
 
     def _commit(self, update: PendingUpdate) -> None:
-        changes = update.zone.commit_update(update.difference, self._runtime.now_us())
+        changes = update.zone.commit_update(update.difference)
         self._on_committed(update.zone, changes, update.difference.accepted_ms)
         self._settle(update, True)
 
--- a/tests/test_zone_store.py
+++ b/tests/test_zone_store.py
@@ -189,3 +189,18 @@
     assert [client.receive(sock)[3] & 15 for sock in (first, *sent[:max_waiting])] == (
         [NOERROR] * (max_waiting + 1)
     )
+
+
+def test_a_removal_that_failed_does_not_count_for_the_removal_limit(
+    world: World, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr("kelpcourse.zones.zone_store.Folder", FaultyFolder)
+    node, client = start_primary(world, update="most=0.5 within=3600")
+    monkeypatch.setattr(FaultyFolder, "disk_full", True)
+    removals = [update_message(("delete", f"s-{number}")) for number in range(2)]
+    assert client.update_all(removals) == [dns.rcode.SERVFAIL] * 2
+    monkeypatch.setattr(FaultyFolder, "disk_full", False)
+    assert client.update(("delete", "s-2")) == NOERROR
+    assert client.update(("delete", "s-3")) == NOERROR
+    assert client.update(("delete", "s-0")) == REFUSED
+    assert set(node.statuses) == {"s-0", "s-1"}
--- a/tests/test_zone_update_handler.py
+++ b/tests/test_zone_update_handler.py
@@ -6,12 +6,14 @@
 import dns.message
 import dns.rcode
 import dns.tsig
+import dns.update
 import pytest
 
 from tests.zonerig import (
     KEY,
     OTHER_SECRET_KEY,
     SUBMIT,
+    Client,
     World,
     added_endpoint,
     room_a_removal,
@@ -124,3 +126,27 @@
     assert client.update(*added_endpoint("s-8")) == NOERROR
     assert (node.serial, "s-9" in node.statuses) == (2, False)
     assert node.counters["zone_updates_denied"] == 1000
+
+
+def removals_of(count: int) -> list[dns.update.UpdateMessage]:
+    return [update_message(("delete", f"s-{number}")) for number in range(count)]
+
+
+@pytest.mark.parametrize("sent_together", [False, True])
+def test_the_removal_limit_counts_removals_that_wait_for_the_disk(
+    world: World, sent_together: bool
+) -> None:
+    """Guards against a limit that lets more through if updates are sent at once."""
+    node, client = start_primary(world, update="most=0.5 within=3600", endpoints=10)
+    if sent_together:
+        rcodes = client.update_all(removals_of(10))
+    else:
+        rcodes = [client.exchange(message).rcode() for message in removals_of(10)]
+    assert sorted(rcodes) == [NOERROR] * 5 + [REFUSED] * 5
+    assert len(node.statuses) == 5
+    node.kill()
+    restarted = world.node(node.path)
+    client = Client(world, restarted)
+    world.run_until(lambda: restarted.zones.store.writer is not None and not restarted.disk_is_busy)
+    assert client.update(("delete", "s-9")) == REFUSED  # a restart doesn't forget removals
+    assert len(restarted.statuses) == 5
--- a/tests/zonerig.py
+++ b/tests/zonerig.py
@@ -336,9 +336,10 @@
     update: str = "",
     more: str = "",
     classes: tuple[EndpointClass, ...] = (),
+    endpoints: int = 4,
 ) -> tuple[ZoneNode, Client]:
     node = world.primary(
-        zone_with(1, sample_endpoints()), update=update, more=more, classes=classes
+        zone_with(1, sample_endpoints(endpoints)), update=update, more=more, classes=classes
     )
     world.run_until(
         lambda: node.zones.store.writer is not None and not node.zones.store.writer.broken
