--- a/kelpcourse/limits.py
+++ b/kelpcourse/limits.py
@@ -212,6 +212,7 @@
         max_queued_dns_bytes: Maximum size, in bytes, of these datagrams.
         max_dns_requests_per_turn: Maximum number of requests that are handled before other coroutines run.
         dns_turn_us: Time, in microseconds, after which other coroutines run before another request is handled.
+        max_remembered_dns_updates: Maximum number of signed updates that are recognised if they are sent again.
         max_waiting_dns_repetitions: Maximum number of repetitions of an update that wait for its outcome.
         max_pending_dns_updates: Maximum number of signed updates that are not durable yet.
     """
@@ -225,6 +226,7 @@
     max_queued_dns_bytes: int = 4 << 20
     max_dns_requests_per_turn: int = 16
     dns_turn_us: int = 5_000
+    max_remembered_dns_updates: int = 65_536
     max_waiting_dns_repetitions: int = 8
     max_pending_dns_updates: int = 256
 
--- a/kelpcourse/zones/deduplication.py
+++ b/kelpcourse/zones/deduplication.py
@@ -1,36 +1,44 @@
 """Deduplication of updates: an update that is received more than once takes effect once. Has no I/O.
 
-A signed message is identified by its MAC. A signature is valid from its time minus the fudge to its time plus the fudge
-(RFC 8945, section 5.2.3), so the MAC is kept for at least that long. A repeated message, whether it is a retry of the
-client or a replay by an attacker, changes nothing and gets the response to the first one.
+A signed message is identified by its MAC, which is kept for as long as its signature may be valid. A repeated message,
+whether it is a retry of the client or a replay by an attacker, changes nothing and gets the response to the first one.
 """
 
 from __future__ import annotations
 
 from collections import OrderedDict
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 import dns.rcode
 
-FUDGE_US = 300 * 1_000_000  # recommended fudge (RFC 8945, section 10), in microseconds
-# Time, in microseconds, for which a response is kept: the fudge before and after the time signed.
-RETENTION_US = 2 * FUDGE_US
+from kelpcourse.zones.applied_updates import RETENTION_MS, AppliedUpdate
+from kelpcourse.zones.runtime import US_PER_MS
+
+RETENTION_US = RETENTION_MS * US_PER_MS
 SendResponse = Callable[[dns.rcode.Rcode], None]
 
 
 class UpdateDeduplicator:
     """Tracks the responses to recent updates, and the requests whose update is pending."""
 
-    def __init__(self, max_responses: int, max_waiting_repetitions: int) -> None:
+    def __init__(
+        self,
+        max_responses: int,
+        max_waiting_repetitions: int,
+        applied: Iterable[AppliedUpdate] = (),
+    ) -> None:
         """Initializes a deduplicator.
 
         Args:
             max_responses: Maximum number of responses that are kept, the latest ones.
             max_waiting_repetitions: Maximum number of repetitions that wait for the outcome of one update.
+            applied: Updates that were applied before a restart, oldest first.
         """
         self._max_responses = max_responses
         self._max_waiting_repetitions = max_waiting_repetitions
-        self._responses: OrderedDict[bytes, tuple[int, dns.rcode.Rcode]] = OrderedDict()
+        self._responses: OrderedDict[bytes, tuple[int, dns.rcode.Rcode]] = OrderedDict(
+            (update.mac, (update.accepted_ms * US_PER_MS, dns.rcode.NOERROR)) for update in applied
+        )
         self._pending: dict[bytes, list[SendResponse]] = {}
 
     def __len__(self) -> int:
--- a/kelpcourse/zones/handler_context.py
+++ b/kelpcourse/zones/handler_context.py
@@ -2,10 +2,11 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 from typing import Protocol
 
+from kelpcourse.zones.applied_updates import AppliedUpdate
 from kelpcourse.zones.update_policy import EndpointClass
 from kelpcourse.zones.versions import Difference
 from kelpcourse.zones.zone_state import ZoneState
@@ -21,6 +22,7 @@
         zone: State of the updated zone.
         difference: The records that the update removes and adds.
         on_settled: Function that is called exactly once, with True if the update has become durable.
+        mac: MAC of the signed message; empty if the update is not one.
         dependents: Functions that are called after `on_settled`, each exactly once and with the same argument: the
             outcomes that they report were derived from a head that contains the update.
     """
@@ -28,6 +30,7 @@
     zone: ZoneState
     difference: Difference
     on_settled: OnSettled
+    mac: bytes = b""
     dependents: list[OnSettled] = field(default_factory=list)
 
     def settle(self, durable: bool) -> None:
@@ -44,6 +47,9 @@
     def classes(self) -> tuple[EndpointClass, ...]:
         """The request classes for which the removal limit of updates is checked."""
 
+    def applied_updates(self) -> Iterable[AppliedUpdate]:
+        """Returns the updates that were applied before the start and may be sent again, oldest first."""
+
     def now_us(self) -> int:
         """Returns the time of a monotonic clock in microseconds."""
 
--- a/kelpcourse/zones/persistence.py
+++ b/kelpcourse/zones/persistence.py
@@ -3,9 +3,11 @@
 An entry is a msgpack array of a tag and the fields in order. Tags and order are the stored format:
 
     changed   ZoneChanged
+    updated   ZoneUpdated
     seen      ZoneConfirmed
     kept      StoredZone
-    snapshot  ZoneSnapshot
+    snapshot  ZoneSnapshot, written while no applied update is remembered
+    snapshot2 ZoneSnapshotWithUpdates
 """
 
 from __future__ import annotations
@@ -13,10 +15,12 @@
 import gc
 from collections.abc import Callable, Iterable, Iterator, Sequence
 from contextlib import contextmanager
+from dataclasses import dataclass
 
 import msgspec
 
 from kelpcourse.limits import Limits
+from kelpcourse.zones.applied_updates import AppliedUpdate, AppliedUpdates
 from kelpcourse.zones.errors import StoredEntryError, ZoneError
 from kelpcourse.zones.records import Record
 from kelpcourse.zones.versions import Difference, build_zone
@@ -30,6 +34,20 @@
     difference: Difference
 
 
+class ZoneUpdated(msgspec.Struct, tag="updated", array_like=True, frozen=True):
+    """An entry for the change of a zone by a signed update.
+
+    Attributes:
+        origin: Origin of the zone.
+        difference: The records that the update removes and adds.
+        mac: MAC of the update's message.
+    """
+
+    origin: str
+    difference: Difference
+    mac: bytes
+
+
 class ZoneConfirmed(msgspec.Struct, tag="seen", array_like=True, frozen=True):
     """An entry for the confirmation of the current version by the source of the zone.
 
@@ -64,9 +82,18 @@
     zones: tuple[StoredZone, ...]
 
 
+class ZoneSnapshotWithUpdates(msgspec.Struct, tag="snapshot2", array_like=True, frozen=True):
+    """An entry for all zones of a store, and the signed updates that may be sent again."""
+
+    zones: tuple[StoredZone, ...]
+    updates: tuple[AppliedUpdate, ...]
+
+
 # Called with the origin of a zone, the endpoints that a version changes, and its Unix time of acceptance in ms.
 OnReplayed = Callable[[str, EndpointChanges, int], object]
-Entry = ZoneChanged | ZoneConfirmed | StoredZone | ZoneSnapshot
+Entry = (
+    ZoneChanged | ZoneUpdated | ZoneConfirmed | StoredZone | ZoneSnapshot | ZoneSnapshotWithUpdates
+)
 _encoder = msgspec.msgpack.Encoder()
 _decoder = msgspec.msgpack.Decoder(Entry)
 
@@ -88,15 +115,24 @@
         raise StoredEntryError(str(error)) from error
 
 
-def encode_snapshot(zones: Iterable[ZoneState], unconfigured: Iterable[StoredZone]) -> bytes:
+def encode_snapshot(
+    zones: Iterable[ZoneState],
+    unconfigured: Iterable[StoredZone],
+    updates: Iterable[AppliedUpdate] = (),
+) -> bytes:
     """Returns the stored form of a snapshot.
 
     Args:
         zones: Zones that the settings name.
         unconfigured: Stored zones that the settings do not name; they are kept in the store.
+        updates: Applied updates that are remembered, oldest first.
     """
     configured = [stored_zone(zone) for zone in zones if zone.zone.exists]
-    return encode_entry(ZoneSnapshot((*configured, *unconfigured)))
+    stored = (*configured, *unconfigured)
+    applied = tuple(updates)
+    if not applied:
+        return encode_entry(ZoneSnapshot(stored))
+    return encode_entry(ZoneSnapshotWithUpdates(stored, applied))
 
 
 def stored_zone(zone: ZoneState) -> StoredZone:
@@ -118,7 +154,8 @@
             gc.enable()
 
 
-class _ReplayedVersion(msgspec.Struct, frozen=True):
+@dataclass(frozen=True)
+class _ReplayedVersion:
     """A replayed version: its place in the history, when it was accepted, and the endpoints that it changed."""
 
     is_later: bool  # whether there is an older version
@@ -152,6 +189,7 @@
         self._on_replayed = on_replayed
         self._unordered: list[_ReplayedVersion] | None = None  # versions that are not reported yet
         self.zones = {origin: ZoneState(origin, service, limits) for origin in origins}
+        self.applied_updates = AppliedUpdates(limits.max_remembered_dns_updates)
         self.warnings: list[str] = []  # problems of the entries that could not be replayed
         self._unconfigured: dict[str, ZoneState] = {}
         self._service = service
@@ -180,19 +218,32 @@
     def _replay_entry(self, entry: Entry) -> None:
         match entry:
             case ZoneSnapshot(zones):
-                with self._in_order_of_acceptance():
-                    for stored in zones:
-                        self._replay_zone(stored)
+                self._replay_zones(zones)
+            case ZoneSnapshotWithUpdates(zones, updates):
+                for update in updates:
+                    self.applied_updates.add(update)
+                self._replay_zones(zones)
             case StoredZone():
                 self._replay_zone(entry)
             case ZoneChanged(origin, difference):
-                zone = self._zone(origin)
-                self._replay_difference(zone, difference)
-                zone.confirmed_ms = max(zone.confirmed_ms, difference.accepted_ms)
+                self._replay_change(origin, difference)
+            case ZoneUpdated(origin, difference, mac):
+                self._replay_change(origin, difference)
+                self.applied_updates.add(AppliedUpdate(mac, difference.accepted_ms))
             case ZoneConfirmed(origin, confirmed_ms):
                 zone = self._zone(origin)
                 zone.confirmed_ms = max(zone.confirmed_ms, confirmed_ms)
 
+    def _replay_change(self, origin: str, difference: Difference) -> None:
+        zone = self._zone(origin)
+        self._replay_difference(zone, difference)
+        zone.confirmed_ms = max(zone.confirmed_ms, difference.accepted_ms)
+
+    def _replay_zones(self, zones: Iterable[StoredZone]) -> None:
+        with self._in_order_of_acceptance():
+            for stored in zones:
+                self._replay_zone(stored)
+
     def _replay_zone(self, stored: StoredZone) -> None:
         zone = self._zone(stored.origin)
         if zone.zone.exists:
--- a/kelpcourse/zones/service.py
+++ b/kelpcourse/zones/service.py
@@ -2,9 +2,12 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
+
 import msgspec
 
 from kelpcourse.wire.stream import Address
+from kelpcourse.zones.applied_updates import AppliedUpdate
 from kelpcourse.zones.dns_client import DnsClient
 from kelpcourse.zones.file_watcher import ZoneFileWatcher
 from kelpcourse.zones.follower import ZoneFollower
@@ -124,6 +127,10 @@
 
     # Methods that the request handlers call (HandlerContext).
 
+    def applied_updates(self) -> Iterable[AppliedUpdate]:
+        """Returns the updates that were applied before the start and may be sent again, oldest first."""
+        return self.store.applied_updates
+
     def now_us(self) -> int:
         """Returns the time of the loop's monotonic clock, in microseconds."""
         return self._runtime.now_us()
--- a/kelpcourse/zones/update_handler.py
+++ b/kelpcourse/zones/update_handler.py
@@ -24,9 +24,6 @@
 from kelpcourse.zones.versions import Difference
 from kelpcourse.zones.zone_state import ZoneState
 
-# Number of remembered responses for each update that may be pending at a time.
-REMEMBERED_RESPONSES_PER_PENDING_UPDATE = 16
-
 Complete = Callable[[dns.rcode.Rcode], None]
 
 
@@ -61,8 +58,9 @@
         self._context = context
         self._responder = responder
         self._deduplicator = UpdateDeduplicator(
-            limits.max_pending_dns_updates * REMEMBERED_RESPONSES_PER_PENDING_UPDATE,
+            limits.max_remembered_dns_updates,
             limits.max_waiting_dns_repetitions,
+            context.applied_updates(),
         )
 
     def handle(self, request: DnsRequest, message: dns.update.UpdateMessage) -> None:
@@ -134,7 +132,7 @@
             self._complete_when_durable(zone, grant, dns.rcode.REFUSED, complete)
             return
         on_settled = partial(_report_outcome, complete, dns.rcode.NOERROR)
-        if not self._context.stage(PendingUpdate(zone, difference, on_settled)):
+        if not self._context.stage(PendingUpdate(zone, difference, on_settled, mac)):
             zone.undo_update(difference)
             self._log_throttled(zone, grant)
             complete(dns.rcode.SERVFAIL)
--- a/kelpcourse/zones/zone_store.py
+++ b/kelpcourse/zones/zone_store.py
@@ -16,12 +16,14 @@
 from kelpcourse.store.folder import Folder
 from kelpcourse.store.journal import Journal
 from kelpcourse.wire.storage import DurableWriter, StorageThread
+from kelpcourse.zones.applied_updates import RETENTION_MS, AppliedUpdate
 from kelpcourse.zones.handler_context import OnSettled, PendingUpdate
 from kelpcourse.zones.persistence import (
     Entry,
     OnReplayed,
     ZoneChanged,
     ZoneReplay,
+    ZoneUpdated,
     encode_entry,
     encode_snapshot,
     garbage_collection_paused,
@@ -80,6 +82,8 @@
         if settings.state is not None:
             self._writer = self._open(settings.state, replay)
         self.zone_states = replay.zones
+        self.applied_updates = replay.applied_updates
+        self.applied_updates.forget_before(runtime.unix_ms() - RETENTION_MS)
         self._unconfigured_zones = replay.unconfigured_zones()
 
     @property
@@ -116,7 +120,7 @@
             self.save(update.zone, stored_zone(update.zone))
             if origin in self._unsaved_origins:
                 return False
-        if not self._writer.stage(encode_entry(ZoneChanged(origin, update.difference)), update):
+        if not self._writer.stage(encode_entry(_entry_of(update)), update):
             return False
         self._last_staged[origin] = update
         return True
@@ -156,7 +160,10 @@
             found = journal.open()
             replay.run(found.snapshot, (record.payload for record in found.records))
         journal.ensure_generation(
-            found, encode_snapshot(replay.zones.values(), replay.unconfigured_zones())
+            found,
+            encode_snapshot(
+                replay.zones.values(), replay.unconfigured_zones(), replay.applied_updates
+            ),
         )
         for warning in found.warnings:
             runtime.log.always(
@@ -188,7 +195,9 @@
 
     def _encode_snapshot(self) -> bytes:
         self._origins_in_snapshot = set(self._unsaved_origins)
-        return encode_snapshot(self.zone_states.values(), self._unconfigured_zones)
+        return encode_snapshot(
+            self.zone_states.values(), self._unconfigured_zones, self.applied_updates
+        )
 
     def _on_settled(self, settled: Settled[PendingUpdate | SavedVersion]) -> None:
         if settled.compacted:
@@ -205,6 +214,8 @@
 
     def _commit(self, update: PendingUpdate) -> None:
         changes = update.zone.commit_update(update.difference)
+        if update.mac:
+            self.applied_updates.add(AppliedUpdate(update.mac, update.difference.accepted_ms))
         self._on_committed(update.zone, changes, update.difference.accepted_ms)
         self._settle(update, True)
 
@@ -222,3 +233,10 @@
     def _mark_unsaved(self, origin: str) -> None:
         self._unsaved_origins.add(origin)
         self._origins_in_snapshot.discard(origin)
+
+
+def _entry_of(update: PendingUpdate) -> Entry:
+    """Returns the entry of an update, which has the MAC of its message, so that both are durable together."""
+    if not update.mac:
+        return ZoneChanged(update.zone.origin, update.difference)
+    return ZoneUpdated(update.zone.origin, update.difference, update.mac)
--- a/tests/test_zone_request_handler.py
+++ b/tests/test_zone_request_handler.py
@@ -26,6 +26,9 @@
 
     classes: tuple[EndpointClass, ...] = ()
 
+    def applied_updates(self) -> tuple[()]:
+        return ()
+
     def now_us(self) -> int:
         return 0
 
