Limit listed sizes, load reports, usual rates and the capacity estimate to figures that can be divided

Change: an endpoint counts as a millionth to a million times the mean listed one, load reports outside 1e-6 to 1e12 requests a second are ignored, a proxy's usual rate counts as 1e9 at most, and the capacity estimate keeps its least value when it is scaled. Figures are limited and not refused, as what is refused would not be served.

--- a/kelpcourse/policy/bindings.py
+++ b/kelpcourse/policy/bindings.py
@@ -12,6 +12,7 @@
 RECONNECT_STORM_SPAN_US = 1_000_000
 RECONNECT_STORM_DIVISOR = 15  # proxies of the fleet for each join that a reconnect storm requires
 MIN_RECONNECT_STORM_JOINS = 2
+MAX_USUAL_RATE_PER_S = 1e9  # requests per second of one proxy; larger figures count as this one
 INHERITANCE_US = 6_000_000  # time for which proxies may use tables of a previous controller
 
 
@@ -71,7 +72,8 @@
         keeps_table = self.in_reconnect_storm(now_us) and not joined.has_no_table
         self.inherited_until_us[proxy] = now_us + INHERITANCE_US if keeps_table else 0
         self.unbound_since_us[proxy] = now_us
-        self.origins[proxy] = ProxyOrigin(joined.zone, joined.request_rate_per_s)
+        usual_rate = min(joined.request_rate_per_s, MAX_USUAL_RATE_PER_S)
+        self.origins[proxy] = ProxyOrigin(joined.zone, usual_rate)
         return may_be_bound
 
     def remove(self, proxy: ProxyId) -> None:
--- a/kelpcourse/policy/capacity.py
+++ b/kelpcourse/policy/capacity.py
@@ -4,9 +4,10 @@
 
 from dataclasses import dataclass
 
-from kelpcourse.policy.arithmetic import US_PER_S
+from kelpcourse.policy.arithmetic import US_PER_S, clamp
 
 MIN_CAPACITY_PER_S = 1.0
+MAX_CAPACITY_PER_S = 1e15
 SMOOTHING_TIME_US = 3_000_000  # time constant of the estimate while endpoints are busy
 MIN_GROWTH_COMPLETED_SHARE = 0.75  # part of the estimate that must be completed for it to grow
 GROWTH_FACTOR_PER_S = 1.18  # growth of the estimate in a second while endpoints are idle
@@ -52,8 +53,9 @@
             proxy_rate: Sum of the usual request rates of the joined proxies, in requests per second.
         """
         fleet_size = endpoint_capacity * proxy_rate
-        if fleet_size > 0 and self._fleet_size > 0:
-            self.requests_per_s *= fleet_size / self._fleet_size
+        if fleet_size > 0 and self._fleet_size > 0 and self.requests_per_s > 0:
+            scaled = self.requests_per_s * (fleet_size / self._fleet_size)
+            self.requests_per_s = clamp(scaled, MIN_CAPACITY_PER_S, MAX_CAPACITY_PER_S)
         self._fleet_size = fleet_size
 
     def update(self, sample: CapacitySample, shedding_load: bool) -> None:
--- a/kelpcourse/policy/endpoints.py
+++ b/kelpcourse/policy/endpoints.py
@@ -5,11 +5,18 @@
 from collections.abc import Iterable, Sequence
 from dataclasses import dataclass, field
 
+from kelpcourse.policy.arithmetic import clamp
 from kelpcourse.policy.events import Endpoint, EndpointReport
 from kelpcourse.policy.settings import EndpointId, RequestClass, Settings
 
 REPORT_DECAY = 0.5  # factor by which the sums decay in a report period
 MIN_SPAN_US = 1  # lower bound of the window of a report, which avoids division by zero
+# Bounds of listed weights, of which sums and means can be computed.
+MIN_LISTED_WEIGHT = 1e-300
+MAX_LISTED_WEIGHT = 1e300
+# Bounds of the capacity of an endpoint that is listed, relative to the mean endpoint.
+MIN_LISTED_CAPACITY = 1e-6
+MAX_LISTED_CAPACITY = 1e6
 
 
 @dataclass
@@ -121,9 +128,12 @@
     def update_mean_weight(self) -> None:
         """Computes the mean of the listed weights, to which nominal capacities are relative."""
         listed = [
-            state.endpoint.weight for state in self.endpoints.values() if state.endpoint.weight > 0
+            min(state.endpoint.weight, MAX_LISTED_WEIGHT)
+            for state in self.endpoints.values()
+            if state.endpoint.weight > 0
         ]
         self._mean_weight = sum(listed) / len(listed) if listed else 1.0
+        self._mean_weight = max(self._mean_weight, MIN_LISTED_WEIGHT)
 
     def select(self, selector: EndpointSelector) -> list[EndpointState]:
         """Returns the endpoints that match."""
@@ -148,6 +158,7 @@
         """Returns the capacity of the endpoint when healthy and warmed up, relative to the mean endpoint."""
         weight = state.endpoint.weight
         listed = weight / self._mean_weight if weight > 0 else 1.0
+        listed = clamp(listed, MIN_LISTED_CAPACITY, MAX_LISTED_CAPACITY)
         return listed * state.relative_capacity
 
     def current_capacity(self, state: EndpointState, now_us: int) -> float:
--- a/kelpcourse/policy/relative_capacity.py
+++ b/kelpcourse/policy/relative_capacity.py
@@ -17,6 +17,9 @@
 FIRST_REPORT_COUNT = 1.0
 PRIOR_RESPONSES = 4.0  # assumed responses that take the mean time of the endpoint's kind
 MIN_UTILIZATION = 0.1  # utilization below which a load report is noise
+# Throughputs of a fully used endpoint, in requests per second, outside of which a load report is ignored.
+MIN_THROUGHPUT_PER_S = 1e-6
+MAX_THROUGHPUT_PER_S = 1e12
 # Odds of the response times at or below which load reports contradict them and are ignored.
 MIN_CONSISTENT_ODDS = 0.4
 MIN_LOAD_ODDS = 0.1
@@ -124,6 +127,9 @@
     for state in measured:
         utilization = state.load.get("util", 0)
         rate = state.load.get("qps", 0)
-        if utilization > MIN_UTILIZATION and rate > 0:
-            throughputs[state.endpoint.id] = rate / utilization
+        if utilization <= MIN_UTILIZATION or rate <= 0:
+            continue
+        throughput = rate / utilization
+        if MIN_THROUGHPUT_PER_S <= throughput <= MAX_THROUGHPUT_PER_S:
+            throughputs[state.endpoint.id] = throughput
     return throughputs
--- a/tests/test_odd_input.py
+++ b/tests/test_odd_input.py
@@ -2,8 +2,9 @@
 
 from __future__ import annotations
 
+import math
 import random
-from dataclasses import replace
+from dataclasses import dataclass, replace
 from itertools import product
 
 import pytest
@@ -59,20 +60,47 @@
 ]
 
 
-def unusual_event(rng: random.Random, now_us: int) -> Event:
+@dataclass(frozen=True)
+class Figures:
+    """Values that the fields of events are drawn from."""
+
+    weights: tuple[float, ...] = (0.0, 1.0, 4.0)
+    rates_per_s: tuple[float, ...] = (0.0, 9.0)
+    counts: tuple[int, ...] = (0, 1, 40)
+    loads: tuple[tuple[tuple[str, float], ...], ...] = (
+        (),
+        (("util", 0.0),),
+        (("util", 0.9), ("qps", 0.0)),
+    )
+
+
+TINY, SMALL, LARGE, HUGE = 5e-324, 1e-300, 1e300, 1.7e308
+EXTREME = Figures(
+    (0.0, 1.0, TINY, SMALL, LARGE, HUGE),
+    (0.0, 9.0, TINY, LARGE, HUGE),
+    (0, 1, 40, (1 << 53) - 1),
+    tuple(
+        (("util", utilization), ("qps", rate))
+        for utilization in (0.5, TINY, LARGE, HUGE)
+        for rate in (9.0, TINY, LARGE, HUGE)
+    ),
+)
+
+
+def unusual_event(rng: random.Random, now_us: int, figures: Figures) -> Event:
     endpoint, proxy, zone = (
         rng.randrange(1, 9),
         rng.randrange(4),
         rng.choice(("east", "west", "elsewhere")),
     )
-    count, span_us = rng.choice((0, 1, 40)), rng.choice((0, 1, 1_000_000, 5_000_000))
+    count, span_us = rng.choice(figures.counts), rng.choice((0, 1, 1_000_000, 5_000_000))
     listed = tuple(
         make_endpoint(
             rng.randrange(1, 9),
             zone,
             rng.choice(list(EndpointStatus)),
             rng.choice((0, now_us - 1, now_us + 9)),
-            weight=rng.choice((0.0, 1.0, 4.0)),
+            weight=rng.choice(figures.weights),
         )
         for _ in range(rng.randrange(4))
     )
@@ -80,7 +108,10 @@
         (
             EndpointList(rng.choice(list(EndpointListKind)), 1, listed),
             ProxyJoined(
-                proxy, zone if zone != "elsewhere" else "east", rng.choice((0.0, 9.0)), True
+                proxy,
+                zone if zone != "elsewhere" else "east",
+                rng.choice(figures.rates_per_s),
+                True,
             ),
             ProxyLeft(proxy),
             OrdersAcknowledged(proxy, rng.randrange(9), 5),
@@ -91,7 +122,7 @@
                 rng.randrange(count + 1),
                 span_us,
                 rng.choice((0, 3_000_000)),
-                rng.choice(((), (("util", 0.0),), (("util", 0.9), ("qps", 0.0)))),
+                rng.choice(figures.loads),
             ),
             DemandReport(proxy, rng.randrange(2), count, 0, span_us),
             SliceDemand(1, 0, count, 0, span_us),
@@ -104,15 +135,21 @@
     )
 
 
+@pytest.mark.parametrize("figures", [Figures(), EXTREME], ids=["usual", "extreme"])
 @pytest.mark.parametrize("variant", range(len(VARIANTS)))
-def test_unusual_events_raise_no_error_and_yield_valid_orders(variant: int) -> None:
+def test_unusual_events_raise_no_error_and_yield_valid_orders(
+    variant: int, figures: Figures
+) -> None:
+    """Guards against finite figures that end a step, with which all its events are lost."""
     rng = random.Random(variant)
     policy, now_us = RoutingPolicy(VARIANTS[variant]), 10_000_000
     policy.step(now_us, [Started(1), EndpointList(EndpointListKind.RESTORED, 0, ())])
     for _ in range(1500):
         now_us += rng.choice((0, 2_000, 700_000))
-        actions = policy.step(now_us, [unusual_event(rng, now_us) for _ in range(rng.randrange(5))])
+        events = [unusual_event(rng, now_us, figures) for _ in range(rng.randrange(5))]
+        actions = policy.step(now_us, events)
         assert all(
-            a.weight >= 0 and 1 <= a.endpoint < 9 for a in actions_of_type(actions, SetWeight)
+            math.isfinite(a.weight) and a.weight >= 0 and 1 <= a.endpoint < 9
+            for a in actions_of_type(actions, SetWeight)
         )
         assert all(a.limit >= 0 for a in actions_of_type(actions, SetAdmission))
