--- a/kelpcourse/policy/delivery.py
+++ b/kelpcourse/policy/delivery.py
@@ -7,11 +7,11 @@
 
 from __future__ import annotations
 
-import math
 from collections import deque
-from collections.abc import Iterable, Mapping, Sequence
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
 
+from kelpcourse.policy.message_budget import MessageBudget
 from kelpcourse.policy.settings import ProxyId
 
 
@@ -93,8 +93,6 @@
         """
         self._max_delivery_us = max_delivery_us
         self._entries_per_us = entries_per_us
-        self._max_messages = max_messages
-        self._message_window_us = message_window_us
         self._max_transit_us = max_transit_us
         self._queue_empty_us = 0
         self._deliveries: deque[Delivery] = deque()
@@ -104,9 +102,7 @@
         self._last_acknowledged_sent_us = 0  # latest send time of an acknowledged delivery
         # Time of the latest acknowledgement of a delivery older than all those that are tracked.
         self._last_progress_us = 0
-        # Latest deliveries to any proxy and to each proxy; as many of them as the message limit allows.
-        self._recent_messages: deque[Delivery] = deque(maxlen=max_messages)
-        self._recent_by_proxy: dict[ProxyId, deque[Delivery]] = {}
+        self.messages = MessageBudget(max_messages, message_window_us)
         self._unknown_outcomes: tuple[int, ...] = ()
 
     @property
@@ -140,61 +136,25 @@
         self._deliveries.append(delivery)
         for proxy, cost in entries_by_proxy.items():
             self._by_proxy.setdefault(proxy, deque()).append(ProxyDelivery(delivery, cost))
-        self._recent_messages.append(delivery)
         recipients = set(entries_by_proxy)
         if unconfirmed_entries:
             recipients.update(unconfirmed_proxies)
-        for proxy in recipients:
-            recent = self._recent_by_proxy.setdefault(proxy, deque(maxlen=self._max_messages))
-            recent.append(delivery)
+        self.messages.record_sent(delivery, recipients)
 
     def within_message_budget(self, fraction: float, now_us: int) -> bool:
         """Returns whether each proxy was sent fewer messages within the window than this fraction of the limit."""
-        count = math.ceil(self._max_messages * fraction)
-        since_us = now_us - self._message_window_us
-        if not _has_recent(self._recent_messages, count, since_us):
-            return True  # one proxy was sent at most as many messages as all proxies together
-        return not any(
-            _has_recent(recent, count, since_us) for recent in self._recent_by_proxy.values()
-        )
-
-    def sustains_interval(self, interval_us: int, now_us: int) -> bool:
-        """Returns whether each proxy can be sent a message now and one after each interval, without end.
-
-        Args:
-            interval_us: Time, in microseconds, between two messages; above 0.
-            now_us: Time of the first message, in microseconds.
-        """
-        if not self._max_messages:
-            return True
-        if self._message_window_us // interval_us >= self._max_messages:
-            return False
-        if self._has_room_for_interval(self._recent_messages, interval_us, now_us):
-            return True  # one proxy was sent at most as many messages as all proxies together
-        return all(
-            self._has_room_for_interval(recent, interval_us, now_us)
-            for recent in self._recent_by_proxy.values()
-        )
-
-    def _has_room_for_interval(
-        self, recent: Sequence[Delivery], interval_us: int, now_us: int
-    ) -> bool:
-        """Returns whether a proxy with these messages can be sent one now and one after each interval."""
-        for sent_count in range(1, self._message_window_us // interval_us + 2):
-            since_us = now_us + (sent_count - 1) * interval_us - self._message_window_us
-            if _has_recent(recent, self._max_messages - sent_count + 1, since_us):
-                return False
-        return True
+        return self.messages.is_below(fraction, now_us)
 
     def accepted(self, checkpoint_id: int, now_us: int) -> None:
         """Records that the relay accepted the orders of a step.
 
         Their times are counted from now, because the orders may have been queued before the call.
         """
-        for delivery in (*self._deliveries, *self._recent_messages):
+        for delivery in self._deliveries:
             if delivery.checkpoint_id == checkpoint_id:
                 delivery.due_us += now_us - delivery.sent_us
                 delivery.sent_us = now_us
+        self.messages.accepted(checkpoint_id, now_us)
         if checkpoint_id in self._unknown_outcomes:
             self._unknown_outcomes = ()
 
@@ -220,7 +180,7 @@
 
         It acknowledges no more messages, and the count of its messages starts at 0 when it joins again.
         """
-        self._recent_by_proxy.pop(proxy, None)
+        self.messages.proxy_left(proxy)
         self._forget_entries(proxy)
 
     def proxy_joined(self, proxy: ProxyId, now_us: int) -> None:
@@ -288,10 +248,7 @@
             (d.total_entries for d in self._deliveries if d.checkpoint_id == checkpoint_id), 0.0
         )
         self.record_sent(checkpoint_id, now_us, {}, copy_entries)
-        for recent in (self._recent_messages, *self._recent_by_proxy.values()):
-            first = next((d for d in recent if d.checkpoint_id == checkpoint_id), None)
-            if first is not None:
-                recent.append(first)
+        self.messages.record_copies(checkpoint_id)
 
     def backlog_entries(self, now_us: int) -> float:
         """Returns the entries that may still be in the delivery queue; removes deliveries that have left it."""
@@ -353,8 +310,3 @@
         unconfirmed_part = min(1.0, max(unacknowledged_part, left_part))
         confirmed = delivery.entries if follows_queued else delivery.unacknowledged_entries
         return confirmed + delivery.unconfirmed_entries * unconfirmed_part
-
-
-def _has_recent(recent: Sequence[Delivery], count: int, since_us: int) -> bool:
-    """Returns whether at least `count` of these messages, which is above 0, were sent after a time."""
-    return 0 < count <= len(recent) and recent[-count].sent_us > since_us
--- a/kelpcourse/policy/withdrawal_pacing.py
+++ b/kelpcourse/policy/withdrawal_pacing.py
@@ -35,7 +35,7 @@
         wait_us = self._grace_us - queued_entries / self._entries_per_us
         updates_us = update_entries / self._entries_per_us
         max_delay_us = int(wait_us - min(updates_us, MAX_UPDATE_SHARE * wait_us))
-        if max_delay_us <= 0 or self._delivery.sustains_interval(max_delay_us, now_us):
+        if max_delay_us <= 0 or self._delivery.messages.sustains_interval(max_delay_us, now_us):
             return 0
         return max_delay_us
 
