Test that nothing shows an update that waits for the disk

Queries, transfers, NOTIFY and the endpoint list show the durable version; this was told in docs/zones.md and not held by a test. It passes without a change of code.

--- a/tests/test_zone_store.py
+++ b/tests/test_zone_store.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import socket
 import threading
 
 import dns.flags
@@ -204,3 +205,40 @@
     assert client.update(("delete", "s-3")) == NOERROR
     assert client.update(("delete", "s-0")) == REFUSED
     assert set(node.statuses) == {"s-0", "s-1"}
+
+
+def test_nothing_shows_an_update_that_waits_for_the_disk(
+    world: World, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a secondary or a controller that holds a version which a crash takes back."""
+    monkeypatch.setattr("kelpcourse.zones.zone_store.Folder", FaultyFolder)
+    notified = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+    notified.bind(("127.0.0.1", 0))
+    notified.setblocking(False)
+    node, client = start_primary(world, more=f'notify "127.0.0.1:{notified.getsockname()[1]}"')
+    world.run_until(lambda: received_notify(notified))  # of the first version
+    monkeypatch.setattr(FaultyFolder, "blocked", threading.Event())
+    update = client.send(update_message(*added_endpoint("s-9")).to_wire())
+    world.run_until(lambda: node.disk_is_busy)
+    assert client.query(ORIGIN, "SOA").answer[0][0].serial == 1
+    assert client.query(f"s-9.{ORIGIN}", "A").rcode() == dns.rcode.NXDOMAIN
+    transfer = dns.message.make_query(ORIGIN, "AXFR")
+    transfer.use_tsig(KEY)
+    assert client.exchange(transfer, tcp=True).answer[0][0].serial == 1
+    assert "s-9" not in node.statuses
+    assert not received_notify(notified)
+    FaultyFolder.blocked.set()
+    assert client.receive(update)[3] & 15 == NOERROR
+    world.run_until(lambda: received_notify(notified))
+    assert client.query(ORIGIN, "SOA").answer[0][0].serial == 2
+    notified.close()
+
+
+def received_notify(sock: socket.socket) -> bool:
+    """Returns whether a NOTIFY message has arrived, and answers it."""
+    try:
+        wire, peer = sock.recvfrom(512)
+    except BlockingIOError:
+        return False
+    sock.sendto(dns.message.make_response(dns.message.from_wire(wire)).to_wire(), peer)
+    return True
