Divide DNS clients over UDP among sixteen sockets, so that one can't fill the buffer of all

The system's buffer of the socket was full all the time, and reading it ahead in Python is no faster than one sender.

Change: sixteen sockets share the address (SO_REUSEPORT) and the system divides clients among them by address and port; a socket reads eight datagrams ahead of each request.

--- a/kelpcourse/limits.py
+++ b/kelpcourse/limits.py
@@ -207,8 +207,9 @@
         dns_partial_message_timeout_us: Time limit, in microseconds, of receiving the rest of a message or of sending
             an answer.
         max_dns_udp_bytes: Maximum size, in bytes, of an answer over UDP, even if the client accepts more (RFC 9715).
+        dns_udp_sockets: Number of UDP sockets at the address of the DNS server, among which the system divides clients.
         max_dns_datagrams_per_read: Maximum number of datagrams that are read before a request is handled.
-        max_queued_dns_datagrams: Maximum number of datagrams that are read and not handled yet.
+        max_queued_dns_datagrams: Maximum number of datagrams of a UDP socket that are read and not handled yet.
         max_queued_dns_bytes: Maximum size, in bytes, of these datagrams.
         max_dns_requests_per_turn: Maximum number of requests that are handled before other coroutines run.
         dns_turn_us: Time, in microseconds, after which other coroutines run before another request is handled.
@@ -221,9 +222,10 @@
     dns_idle_timeout_us: int = 10_000_000
     dns_partial_message_timeout_us: int = 3_000_000
     max_dns_udp_bytes: int = 1_232
-    max_dns_datagrams_per_read: int = 64
-    max_queued_dns_datagrams: int = 1_024
-    max_queued_dns_bytes: int = 4 << 20
+    dns_udp_sockets: int = 16
+    max_dns_datagrams_per_read: int = 8
+    max_queued_dns_datagrams: int = 256
+    max_queued_dns_bytes: int = 1 << 20
     max_dns_requests_per_turn: int = 16
     dns_turn_us: int = 5_000
     max_remembered_dns_updates: int = 65_536
--- a/kelpcourse/zones/server.py
+++ b/kelpcourse/zones/server.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 from kelpcourse.limits import Limits
 from kelpcourse.memory.counters import Counters
 from kelpcourse.wire.loop import Coroutine, Loop
@@ -25,23 +27,25 @@
         handler: DnsRequestHandler,
         listen_address: Address,
     ) -> None:
-        """Binds the sockets.
+        """Binds the sockets, of which there are several for UDP.
 
         Raises:
             OSError: The address cannot be bound.
         """
-        udp_socket, tcp_socket = bind_udp_and_tcp(listen_address, limits.listen_backlog)
-        self._udp = UdpServer(udp_socket, loop.clock, limits, counters, handler)
+        udp_sockets, tcp_socket = bind_udp_and_tcp(
+            listen_address, limits.listen_backlog, limits.dns_udp_sockets
+        )
+        self._udp = [UdpServer(sock, loop.clock, limits, counters, handler) for sock in udp_sockets]
         self._tcp = TcpServer(tcp_socket, loop, limits, counters, log, handler)
 
     @property
     def address(self) -> Address:
-        """The address at which both sockets are bound."""
+        """The address at which all sockets are bound."""
         return self._tcp.address
 
-    def run_udp(self) -> Coroutine[None]:
-        """Serves requests over UDP."""
-        return self._udp.run()
+    def udp_coroutines(self) -> list[Callable[[], Coroutine[None]]]:
+        """Returns the functions that serve requests over UDP, one for each socket."""
+        return [server.run for server in self._udp]
 
     def run_tcp(self) -> Coroutine[None]:
         """Serves requests over TCP."""
@@ -49,5 +53,6 @@
 
     def close(self) -> None:
         """Closes the listening sockets."""
-        self._udp.close()
+        for server in self._udp:
+            server.close()
         self._tcp.close()
--- a/kelpcourse/zones/service.py
+++ b/kelpcourse/zones/service.py
@@ -235,6 +235,7 @@
         self._server = DnsServer(
             runtime.loop, runtime.limits, runtime.counters, runtime.log, handler, listen_address
         )
-        runtime.start_coroutine("dns udp", self._server.run_udp)
+        for run in self._server.udp_coroutines():
+            runtime.start_coroutine("dns udp", run)
         runtime.start_coroutine("dns tcp", self._server.run_tcp)
         runtime.log.always("dns_ready", listen=format_address(self._server.address))
--- a/tests/test_zone_floods.py
+++ b/tests/test_zone_floods.py
@@ -18,6 +18,7 @@
 from kelpcourse.zones.tcp_framing import frame
 from tests.zonerig import (
     KEY,
+    MS,
     OTHER_SECRET_KEY,
     World,
     added_endpoint,
@@ -29,6 +30,7 @@
 FLOOD = 150  # requests of one client that are sent before those of another
 # Requests that may be handled before that of another client: those of the turn in which it is read.
 MAX_OVERTAKEN = 2 * LIMITS.max_dns_requests_per_turn
+CLIENTS = 32
 NOERROR = dns.rcode.NOERROR
 
 
@@ -95,6 +97,32 @@
     assert node.counters["dns_messages"] - handled <= MAX_OVERTAKEN
 
 
+def test_a_client_that_fills_a_buffer_does_not_shut_others_out(world: World) -> None:
+    """Guards against answers that never come, as the system drops requests while one client sends at full speed."""
+    node, _ = start_primary(world)
+    query = dns.message.make_query(ORIGIN, "SOA").to_wire()
+    with contextlib.ExitStack() as stack:
+        flooding = stack.enter_context(connected_udp(node.address))
+        flooding.setblocking(False)
+        for _ in range(20_000):  # more than the buffer of a socket holds
+            with contextlib.suppress(OSError):
+                flooding.send(query)
+        others = [stack.enter_context(connected_udp(node.address)) for _ in range(CLIENTS)]
+        for other in others:
+            other.setblocking(False)
+            other.send(query)
+        world.run_for_us(100 * MS)
+        answered = sum(has_data(other) for other in others)
+    assert answered >= CLIENTS // 2
+
+
+def has_data(sock: socket.socket) -> bool:
+    try:
+        return bool(sock.recv(512))
+    except BlockingIOError:
+        return False
+
+
 def test_a_request_over_tcp_does_not_wait_for_those_of_another_client(world: World) -> None:
     """Guards against answers that come late while another client has sent many requests on one connection."""
     node, client = start_primary(world)
