Read datagrams ahead only while there may be more

On one socket of several, a look for further datagrams before each request costs an exception each time. The socket is looked at again only if the last read ended at its limit, or if nothing is queued.

--- a/kelpcourse/zones/udp_server.py
+++ b/kelpcourse/zones/udp_server.py
@@ -58,9 +58,11 @@
 
     def _handle_pending(self) -> None:
         end_us = self._clock() + self._limits.dns_turn_us
+        has_more = True
         for _ in range(self._limits.max_dns_requests_per_turn):
             # The system drops datagrams of all clients while the socket's buffer is full, so that is emptied first.
-            self._receive()
+            if has_more:
+                has_more = self._receive()
             if not self._queue:
                 return
             datagram = self._queue.take()
@@ -69,17 +71,18 @@
             if self._clock() >= end_us:
                 return
 
-    def _receive(self) -> None:
-        """Moves datagrams from the socket to the queue."""
+    def _receive(self) -> bool:
+        """Moves datagrams from the socket to the queue; returns whether there may be more."""
         for _ in range(self._limits.max_dns_datagrams_per_read):
             try:
                 datagram = Datagram(*self._socket.recvfrom(MAX_MESSAGE_BYTES))
             except BlockingIOError:
-                return
+                return False
             except OSError:  # ICMP error caused by an earlier response
                 continue
             if dropped := self._queue.put(datagram):
                 self._counters.add("dns_datagrams_dropped", dropped)
+        return True
 
     def _send_first(self, peer: Address, messages: Iterable[bytes]) -> None:
         """Sends the first message; it is lost if the socket buffer is full, and then the client retries its query."""
