Let updates that shed load or refill tables go ahead of a withdrawal's wait

With the change for the shortest grace all updates wait with a delayed withdrawal, up to 2.5 s at longer graces while messages are scarce. An overload or a table that a withdrawal emptied can't wait that long: such updates are sent as before, and the withdrawal shares their messages.

--- a/kelpcourse/policy/publisher.py
+++ b/kelpcourse/policy/publisher.py
@@ -106,10 +106,11 @@
     def _withdrawals_due(self, now_us: int, batch: OrderBatch) -> bool:
         """Returns whether withdrawals are ordered in this step; otherwise a timer is set for the time when they are.
 
-        Updates wait for delayed withdrawals and share their messages.
+        Updates wait for delayed withdrawals and share their messages. Those that shed load or refill tables don't wait,
+        and the withdrawals share their messages.
         """
         requested_us = self.withdrawals.first_requested_us()
-        if requested_us is None:
+        if requested_us is None or (self._has_relief() and self._updates_due(now_us, batch)):
             return True
         queued_entries = batch.queued_entries + self.withdrawals.pending_cost()
         delay_us = self._pacing.delay_us(now_us, queued_entries, self._update_entries)
@@ -119,6 +120,10 @@
         self._withdrawal_wakeup.request(now_us, due_us, batch.actions)
         return False
 
+    def _has_relief(self) -> bool:
+        """Returns whether there are updates that shed load or refill tables."""
+        return self._refill_cost > 0 or self._admission_orders.is_urgent()
+
     def _max_binding_entries(self, now_us: int, withdrawals_due: bool) -> float:
         """Returns the entries up to which bindings may fill the delivery queue without delaying pending withdrawals."""
         requested_us = self.withdrawals.first_requested_us()
