--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -12,6 +12,7 @@
 from kelpcourse.policy.events import EndpointStatus
 from tests.deployment import Deployment
 from tests.fleet import SETTINGS
+from tests.known_red import known_red_tests, mark_known_red
 from tests.listening import ListenerRig
 from tests.loop_rig import SocketPair
 from tests.simulator_input import AdapterHarness
@@ -19,6 +20,16 @@
 from tests.zonerig import World
 
 
+def pytest_collection_modifyitems(config: pytest.Config, items: list[pytest.Item]) -> None:
+    is_whole_run = config.args_source is pytest.Config.ArgsSource.TESTPATHS
+    mark_known_red(items, is_whole_run and not config.getoption("keyword"))
+
+
+def pytest_terminal_summary(terminalreporter: pytest.TerminalReporter) -> None:
+    for test in known_red_tests():
+        terminalreporter.write_line(f"known red: {test}")
+
+
 @pytest.fixture
 def bench() -> Iterator[Bench]:
     """Loop, facade, counters and log for a component under test, with a clock that the test controls."""
--- a/tests/test_event_stream_merging.py
+++ b/tests/test_event_stream_merging.py
@@ -16,7 +16,8 @@
 TICKS_PER_HEARTBEAT = 10
 TICKS = 600
 PROXIES = 5
-MIN_STAY_US = 1_400_000  # the shortest time for which a proxy of the operators' pages is away
+# Shortest times for which a proxy stays joined or away: none, and that after which one that died is back (BRIEF).
+MIN_STAYS_US = (0, 1_400_000)
 STREAMS = (0, 1)
 
 
@@ -39,6 +40,7 @@
 
     rng: random.Random
     registry: ProxyRegistry
+    min_stay_us: int
     streams: dict[int, ModelStream] = field(default_factory=dict)
     joined_us: dict[int, int] = field(default_factory=dict)  # true joins
     reported_us: dict[int, int] = field(default_factory=dict)  # reported joins
@@ -55,7 +57,8 @@
         self.note(self.registry.stream_lost(stream))
 
     def change(self, proxy: int) -> None:
-        if self.now_us - self.changed_us.get(proxy, -MIN_STAY_US) < MIN_STAY_US:
+        changed_us = self.changed_us.get(proxy)
+        if changed_us is not None and self.now_us - changed_us < self.min_stay_us:
             return
         self.changed_us[proxy] = self.now_us
         event: ProxyEvent = Left(proxy) if proxy in self.joined_us else joined(proxy)
@@ -125,14 +128,15 @@
         return sorted(self.reported_us.keys() - self.joined_us.keys())
 
 
+@pytest.mark.parametrize("min_stay_us", MIN_STAYS_US)
 @pytest.mark.parametrize("first", [0, 1, None])
 @pytest.mark.parametrize("seed", range(40))
 def test_a_proxy_that_rejoins_is_reported_whichever_stream_is_written_first(
-    seed: int, first: int | None
+    seed: int, first: int | None, min_stay_us: int
 ) -> None:
     """Guards against proxies that are never bound again, as left-overs of a snapshot hide that they rejoined."""
     registry = ProxyRegistry(LIMITS.max_buffered_events, LIMITS.event_stream_overlap_us)
-    relay = ModelRelay(random.Random(seed), registry)
+    relay = ModelRelay(random.Random(seed), registry, min_stay_us)
     reporting_since_us = 0
     for _ in range(TICKS):
         relay.tick(first)
